--- /dev/null
+++ b/src/main/java/honeygap/Rules.java
@@ -0,0 +1,900 @@
+package honeygap;
+
+import honeygap.fleet.Appliance;
+import honeygap.fleet.Build;
+import honeygap.fleet.Method;
+import honeygap.fleet.Pick;
+import honeygap.fleet.Rpc;
+import honeygap.fleet.Tenant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.zip.CRC32;
+
+/**
+ * The decision module: everything that one agent decides. The host tells it what happened ({@link #now}, then
+ * {@link #taken}, {@link #ended}, {@link #listed}, {@link #told} and the like), which only updates what is known,
+ * and then pulls decisions with {@link #next} until there is none. Decisions go out by {@link Ctl}. Times are
+ * whole tenths of a millisecond. docs/design.md says what comes from which part of the paper.
+ */
+public final class Rules {
+
+    public static final long LONG_AGO = Long.MIN_VALUE / 4;
+
+    public static final int FIRST_VOICE = 0;
+    public static final int BY_COUNT = 1;
+    public static final int AUTOMATIC = 2;
+
+    private static final long SECOND = 10_000;
+
+    // The design's starting values.
+    private static final double BACK_CHANCE = 0.95;
+    private static final double HOLD_CHANCE = 0.8;
+    private static final int FAILURES_TO_JUDGE = 3;
+    private static final int CLEAN_PICKS = 20;
+    private static final long ON_WAIT = 3 * SECOND;
+
+    /** Part of the time left to the soft deadline after which a pick that may be repeated is given up. */
+    private static final double PATIENCE = 0.6;
+    /** A further pick must still have this many times the method's usual time before the soft deadline. */
+    private static final double ROOM_FOR_MORE = 1.5;
+    /** Further picks after ones that may have run, as a share of the RPCs taken: they must not feed a jam. */
+    private static final double FURTHER_SHARE = 0.1;
+    private static final double FURTHER_MOST = 10;
+    private static final double FADE = 1.0 / 32;
+    /** How much of what a cold appliance can bear is used: chance, and work that was not foreseen. */
+    private static final double COLD_SAFETY = 0.6;
+    /** Silent picks in a row before an appliance is left out, and for how many usual times of its methods. */
+    private static final int SILENT_TO_LEAVE = 2;
+    private static final double AWAY_USUALS = 8;
+
+    private final long seed;
+    private long counter;
+    private long now;
+    private final int agents;
+    private final int zone;
+    private final long tick;
+    private final List<Method> methods;
+    private final List<Tenant> tenants;
+    private final double overShareUtility;
+
+    private final List<Appliance> fleet = new ArrayList<>();
+    private final ArrayDeque<Rpc> todo = new ArrayDeque<>();
+    private final ArrayDeque<Rpc> held = new ArrayDeque<>();
+    private long wokenFor = Long.MAX_VALUE;
+    private double further = FURTHER_MOST;
+
+    // Picks
+    private int maxPicks = 1;
+    private boolean copies;
+    private boolean mayCancel;
+    private boolean stayAwayHeard;
+    private long stayAwayMost;
+
+    // Health
+    private boolean mayProbe;
+    private boolean reportsByProbe;
+    private long connectTimeout;
+
+    public Rules(long now, long seed, int agents, int zone, long tick, List<Method> methods, List<Tenant> tenants,
+                 double overShareUtility) {
+        this.now = now;
+        this.seed = seed;
+        this.agents = Math.max(1, agents);
+        this.zone = zone;
+        this.tick = Math.max(1, tick);
+        this.methods = methods;
+        this.tenants = tenants;
+        this.overShareUtility = overShareUtility;
+    }
+
+    public void picks(int most, boolean copies, boolean mayCancel, boolean stayAwayHeard, long stayAwayMost) {
+        this.maxPicks = Math.max(1, most);
+        this.copies = copies;
+        this.mayCancel = mayCancel;
+        this.stayAwayHeard = stayAwayHeard;
+        this.stayAwayMost = stayAwayMost;
+    }
+
+    public void health(boolean mayProbe, boolean reportsByProbe, long connectTimeout) {
+        this.mayProbe = mayProbe;
+        this.reportsByProbe = reportsByProbe;
+        this.connectTimeout = connectTimeout;
+    }
+
+    // ------------------------------------------------------------------ what happened
+
+    public void now(long now) {
+        if (now != this.now) {
+            this.now = now;
+            todo.addAll(held);
+            held.clear();
+        }
+    }
+
+    public void woken() {
+        wokenFor = Long.MAX_VALUE;
+    }
+
+    public void taken(Rpc rpc) {
+        further = Math.min(FURTHER_MOST, further + FURTHER_SHARE);
+        takenAt.get(exposureGroup(rpc.method)).addLast(now);
+        takenWork += cost(rpc);
+        todo.addLast(rpc);
+    }
+
+    public void left(Rpc rpc) {
+        rpc.closed = true;
+    }
+
+    public void ended(Rpc rpc, int index, int outcome, boolean closed, double util, double queue) {
+        Pick pick = rpc.picks.get(index);
+        if (pick.outcome != Pick.OUT) {
+            return;
+        }
+        Appliance appliance = pick.appliance;
+        judge(pick, outcome);
+        pick.outcome = outcome;
+        rpc.out--;
+        appliance.out.remove(pick);
+        pick.build.inFlight[rpc.method.index]--;
+        report(appliance, util, queue);
+        long lag = now - pick.sentAt;
+        if (outcome == Pick.OK) {
+            answered(pick, lag);
+        } else if (outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED) {
+            silence(appliance, rpc.method);
+        } else if (outcome != Pick.CANCELLED && outcome != Pick.MOOT) {
+            appliance.lastAnswerAt = now;
+            appliance.silent = 0;
+        }
+        if (closed) {
+            rpc.closed = true;
+        }
+        if (!rpc.closed && rpc.out == 0) {
+            todo.addLast(rpc);
+        }
+    }
+
+    private void answered(Pick pick, long lag) {
+        Appliance appliance = pick.appliance;
+        Method method = pick.rpc.method;
+        appliance.lastAnswerAt = now;
+        appliance.silent = 0;
+        appliance.awayUntil = LONG_AGO;
+        if (keysStay && pick.rpc.key != null && onTrial(pick.build)) {
+            pick.build.keys.add(pick.rpc.key);
+        }
+        if (method.usual > 0) {
+            appliance.pace += 2 * FADE * (lag / method.usual - appliance.pace);
+        }
+        if (!pick.cold && !onTrial(pick.build)) {
+            method.answers++;
+            method.usual += Math.max(FADE, 1.0 / method.answers) * (lag - method.usual);
+        }
+        if (!pick.cold) {
+            warmWork += cost(pick.rpc);
+        }
+    }
+
+    private void silence(Appliance appliance, Method method) {
+        appliance.silent++;
+        appliance.lastFailAt = now;
+        if (appliance.silent >= SILENT_TO_LEAVE) {
+            double usuals = AWAY_USUALS * (1 << Math.min(3, appliance.silent - SILENT_TO_LEAVE));
+            appliance.awayUntil = now + (long) (usuals * Math.max(method.usual, connectTimeout));
+        }
+    }
+
+    private void report(Appliance appliance, double util, double queue) {
+        if (!Double.isNaN(util) || !Double.isNaN(queue)) {
+            appliance.util = util;
+            appliance.queue = queue;
+            appliance.reportAt = now;
+        }
+    }
+
+    public void probed(Appliance appliance, int outcome, double util, double queue) {
+        if (outcome == Pick.OK) {
+            report(appliance, util, queue);
+        }
+    }
+
+    // ------------------------------------------------------------------ the fit
+
+    /**
+     * The effect theta of one build on trial: Breslow partial likelihood over events with the risk sets o_old and
+     * o_new at each, and a normal prior with mean 0 and variance 1. Concave, so Newton finds the one maximum.
+     */
+    static final class Fit {
+
+        private double[] oOld = new double[64];
+        private double[] oNew = new double[64];
+        private int events;
+        private int ofNew;
+        private double mode;
+        private double curvature = 1;
+        private boolean stale;
+
+        void event(double oOld, double oNew, boolean isNew) {
+            if (events == this.oOld.length) {
+                this.oOld = Arrays.copyOf(this.oOld, 2 * events);
+                this.oNew = Arrays.copyOf(this.oNew, 2 * events);
+            }
+            this.oOld[events] = oOld;
+            this.oNew[events++] = oNew;
+            ofNew += isNew ? 1 : 0;
+            stale = true;
+        }
+
+        int events() {
+            return events;
+        }
+
+        int ofNew() {
+            return ofNew;
+        }
+
+        /** The maximum of the partial likelihood with the prior. */
+        double mode() {
+            solve();
+            return mode;
+        }
+
+        /** Standard deviation of the normal around the maximum. */
+        double spread() {
+            solve();
+            return 1 / Math.sqrt(curvature);
+        }
+
+        /** Chance that theta lies below zero: the build on trial fails more. */
+        double worse() {
+            return normal(-mode() / spread());
+        }
+
+        private void solve() {
+            if (!stale) {
+                return;
+            }
+            stale = false;
+            double theta = mode;
+            for (int i = 0; i < 50; i++) {
+                double slope = -ofNew - theta;
+                curvature = 1;
+                double ratio = Math.exp(-theta);
+                for (int j = 0; j < events; j++) {
+                    double risk = oOld[j] + oNew[j] * ratio;
+                    double part = risk > 0 ? oNew[j] * ratio / risk : 0;
+                    slope += part;
+                    curvature += part * (1 - part);
+                }
+                double step = slope / curvature;
+                theta += Math.max(-1, Math.min(1, step));
+                if (Math.abs(step) < 1e-9) {
+                    break;
+                }
+            }
+            mode = theta;
+        }
+
+        /** The standard normal distribution function (Abramowitz and Stegun 26.2.17). */
+        private static double normal(double x) {
+            double t = 1 / (1 + 0.2316419 * Math.abs(x));
+            double tail = Math.exp(-x * x / 2) / Math.sqrt(2 * Math.PI) * t * (0.319381530 + t * (-0.356563782
+                    + t * (1.781477937 + t * (-1.821255978 + t * 1.330274429))));
+            return x > 0 ? 1 - tail : tail;
+        }
+    }
+
+    /** The build on trial that the fit is of, the earlier build being all others; a new build starts a new fit. */
+    private Build fitted;
+    private Fit fit = new Fit();
+    private long trialPicks;
+
+    /** Errors, time-outs, resets and failed connections are events; the failing pick is still in its risk set. */
+    private void judge(Pick pick, int outcome) {
+        if (pick.build == fitted && outcome != Pick.CANCELLED && outcome != Pick.MOOT) {
+            trialPicks++;
+        }
+        if (outcome != Pick.ERROR && outcome != Pick.TIMEOUT && outcome != Pick.RESET
+                && outcome != Pick.CONNECT_FAILED || fitted == null) {
+            return;
+        }
+        // A silent appliance is one event however many picks it held: it must not convict its build.
+        if ((outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED) && pick.appliance.silent > 0) {
+            return;
+        }
+        // Strata by method: methods kept from the trial build, and ones that fail by nature, say nothing of it.
+        int method = pick.rpc.method.index;
+        int old = 0;
+        for (Build build : builds) {
+            old += build == fitted ? 0 : build.inFlight[method];
+        }
+        fit.event(old, fitted.inFlight[method], pick.build == fitted);
+    }
+
+    private double chance() {
+        CRC32 crc = new CRC32();
+        long n = counter++;
+        for (int i = 0; i < 64; i += 8) {
+            crc.update((int) (seed >>> i));
+        }
+        for (int i = 0; i < 64; i += 8) {
+            crc.update((int) (n >>> i));
+        }
+        return (crc.getValue() + 0.5) / 4294967296.0;
+    }
+
+    private double drawTheta() {
+        double normal = Math.sqrt(-2 * Math.log(chance())) * Math.cos(2 * Math.PI * chance());
+        return fit.mode() + fit.spread() * normal;
+    }
+
+    // ------------------------------------------------------------------ the desk: what is told of the build
+
+    private int gate;
+    private int ayes;
+    private long soak;
+    private long voteStands;
+    private long callTimeout;
+    private long voteSpacing;
+
+    private Build newest;
+    private int phase = Build.RELEASED;
+    private int stage;
+    private double cap;
+    private long stageSince;
+
+    private Build votedBuild;
+    private int votedStage;
+    private int votedVerdict;
+    private long votedAt = LONG_AGO;
+    private boolean voteOut;
+    private boolean voteStood;
+
+    public void desk(int gate, int ayes, long soak, long voteStands, long callTimeout, double votesPerS) {
+        this.gate = gate;
+        this.ayes = ayes;
+        this.soak = soak;
+        this.voteStands = voteStands;
+        this.callTimeout = callTimeout;
+        this.voteSpacing = (long) (2 * SECOND * agents / Math.max(votesPerS, 0.01));
+    }
+
+    public void told(Build build, int phase, int stage, double cap, boolean answer, long since, int outcome) {
+        if (answer) {
+            voteOut = false;
+            voteStood = outcome == Pick.OK;
+        }
+        if (outcome != Pick.OK) {
+            return;
+        }
+        newest = build;
+        this.phase = phase;
+        this.stage = stage;
+        this.cap = cap;
+        this.stageSince = since;
+        note(build);
+    }
+
+    public void counted(Build build, Method method, long many, long bad, long mean, long age) {
+        note(build);
+    }
+
+    public void contested(Appliance appliance, Method method, long age) {
+    }
+
+    /** Keeps the list of builds in order of number, and the fit with the newest build on trial. */
+    private void note(Build build) {
+        if (!builds.contains(build)) {
+            builds.add(build);
+            builds.sort((a, b) -> Integer.compare(a.number, b.number));
+        }
+        Build trial = trial();
+        if (trial != null && trial != fitted) {
+            fitted = trial;
+            fit = new Fit();
+            trialPicks = 0;
+            places = 0;
+            for (Appliance appliance : fleet) {
+                places += appliance.state == Appliance.UP && appliance.build != trial ? 1 : 0;
+            }
+        }
+    }
+
+    private final List<Build> builds = new ArrayList<>();
+    private int places;
+
+    /** Not yet announced, or announced and not released: what the exposure rule calls on trial. */
+    private boolean onTrial(Build build) {
+        return newest != null && (build.number > newest.number || build == newest && phase != Build.RELEASED);
+    }
+
+    private Build trial() {
+        for (int i = builds.size() - 1; i >= 0; i--) {
+            if (onTrial(builds.get(i))) {
+                return builds.get(i);
+            }
+        }
+        return null;
+    }
+
+    /** The verdict that this agent stands for now. */
+    private int verdict() {
+        if (newest == null || newest != fitted || phase == Build.WITHDRAWN || phase == Build.REVERTING) {
+            return Build.VOTE_NONE;
+        }
+        if (fit.ofNew() >= FAILURES_TO_JUDGE && fit.worse() > BACK_CHANCE) {
+            return Build.VOTE_BACK;
+        }
+        if (phase == Build.RELEASED) {
+            return Build.VOTE_NONE;
+        }
+        if (gate == AUTOMATIC) {
+            return fit.ofNew() >= FAILURES_TO_JUDGE && fit.worse() > HOLD_CHANCE ? Build.VOTE_HOLD : Build.VOTE_NONE;
+        }
+        boolean good = fit.events() > 0 && fit.mode() >= 0 || fit.ofNew() == 0 && trialPicks >= CLEAN_PICKS;
+        return good && now >= onAfter() ? Build.VOTE_ON : Build.VOTE_NONE;
+    }
+
+    /** When 'on' may be said: a wait after the last listed start of the stage's appliances. */
+    private long onAfter() {
+        int listed = 0;
+        long last = stageSince;
+        for (Appliance appliance : fleet) {
+            if (appliance.state == Appliance.UP && appliance.build == newest) {
+                listed++;
+                last = Math.max(last, appliance.startedAt);
+            }
+        }
+        int wanted = stage < waves.length ? Math.max(1, (int) (waves[stage] * places)) : 1;
+        return listed >= wanted ? last + ON_WAIT : Long.MAX_VALUE;
+    }
+
+    private boolean voteDue(int verdict) {
+        if (now < votedAt + voteSpacing || voteOut && now < votedAt + callTimeout + 2 * tick) {
+            return false;
+        }
+        boolean same = votedBuild == newest && votedVerdict == verdict
+                && (votedStage == stage || verdict != Build.VOTE_ON && verdict != Build.VOTE_HOLD);
+        if (verdict == Build.VOTE_NONE) {
+            // A vote that no longer matches its build's standing is taken away while it could still count.
+            return newest != null && votedBuild == newest && votedVerdict != Build.VOTE_NONE
+                    && now < votedAt + voteStands && phase == Build.ON_TRIAL && votedStage == stage;
+        }
+        return !same || !voteStood || now >= votedAt + voteStands * 3 / 4;
+    }
+
+    // ------------------------------------------------------------------ exposure
+
+    private double[] caps = new double[0];
+    private double[] waves = new double[0];
+    private long window;
+    private double uncounted;
+    private boolean perMethod;
+    private int shielded;
+    private boolean keysStay;
+    private final List<ArrayDeque<Long>> takenAt = new ArrayList<>();
+
+    public void exposure(double[] caps, double[] waves, long window, double uncounted, boolean perMethod,
+                         int shielded, boolean keysStay) {
+        this.caps = caps;
+        this.waves = waves;
+        this.window = window;
+        this.uncounted = uncounted;
+        this.perMethod = perMethod;
+        this.shielded = shielded;
+        this.keysStay = keysStay;
+        for (int i = 0; i < (perMethod ? methods.size() : 1); i++) {
+            takenAt.add(new ArrayDeque<>());
+        }
+    }
+
+    private int exposureGroup(Method method) {
+        return perMethod ? method.index : 0;
+    }
+
+    private double capOf(Build build) {
+        if (build.number > newest.number) {
+            return caps.length > 0 ? caps[0] : 0;
+        }
+        return phase == Build.ON_TRIAL || phase == Build.REVERTING ? cap : 0;
+    }
+
+    /** May a pick of this method go to the build on trial now: stage, cap and rolling count. */
+    private boolean exposable(Build build, Method method) {
+        if (!onTrial(build)) {
+            return true;
+        }
+        int at = build.number > newest.number ? 0 : stage;
+        if (at < shielded && method.effect != Method.IDEMPOTENT) {
+            return false;
+        }
+        double share = capOf(build);
+        if (share <= 0) {
+            return false;
+        }
+        int group = exposureGroup(method);
+        // Picks are counted over a little more than the window, RPCs over a little less.
+        ArrayDeque<Long> taken = takenAt.get(group);
+        while (!taken.isEmpty() && taken.peekFirst() <= now - window + 2 * tick) {
+            taken.removeFirst();
+        }
+        while (!build.exposed.isEmpty() && build.exposed.peekFirst()[0] < now - window - 2 * tick) {
+            build.exposed.removeFirst();
+        }
+        int sent = 0;
+        for (long[] pick : build.exposed) {
+            sent += pick[1] == group ? 1 : 0;
+        }
+        return sent + 1 <= uncounted + share * taken.size();
+    }
+
+    /** A key that the new build has answered goes to no earlier one, until the build goes back. */
+    private boolean keyAllows(Rpc rpc, Build build) {
+        return !(keysStay && rpc.key != null && newest != null && build.number < newest.number
+                && (phase == Build.ON_TRIAL || phase == Build.RELEASED) && newest.keys.contains(rpc.key));
+    }
+
+    // ------------------------------------------------------------------ cold appliances
+
+    private double coldFrom = 1;
+    private long warmAfter;
+    private double fallMultiple = 1;
+    private long tipAfter = SECOND;
+    /** Work answered by warm appliances, for what one of them takes through this agent; refreshed each second. */
+    private double warmWork;
+    private double takenWork;
+    private double warmRate;
+    private long rateSince = LONG_AGO;
+
+    public void cold(double coldFrom, long warmAfter, double fallMultiple, long tipAfter) {
+        this.coldFrom = coldFrom;
+        this.warmAfter = warmAfter;
+        this.fallMultiple = fallMultiple;
+        this.tipAfter = Math.max(1, tipAfter);
+    }
+
+    /** Part of its full capacity that the appliance surely has. */
+    private double warmth(Appliance appliance) {
+        long age = now - appliance.startedAt;
+        return age >= warmAfter ? 1 : coldFrom + (1 - coldFrom) * Math.max(0, age) / warmAfter;
+    }
+
+    private double cost(Rpc rpc) {
+        return rpc.work > 0 ? rpc.work : Math.max(rpc.method.usual, 1);
+    }
+
+    private void rates() {
+        if (now < rateSince + SECOND) {
+            return;
+        }
+        int up = 0;
+        for (Appliance appliance : fleet) {
+            up += appliance.state != Appliance.GONE ? 1 : 0;
+        }
+        if (rateSince > LONG_AGO && up > 0) {
+            double rate = Math.max(warmWork, takenWork) / (now - rateSince) / up;
+            warmRate = Math.max(rate, warmRate + FADE * (rate - warmRate));
+        }
+        warmWork = 0;
+        takenWork = 0;
+        rateSince = now;
+    }
+
+    /**
+     * Guards against pushing a cold appliance over: work sent within the window stays under what it can bear,
+     * taken from what a warm one gets through this agent. Every agent keeping to its part, all together do.
+     */
+    private boolean bears(Appliance appliance, Rpc rpc) {
+        double warmth = warmth(appliance);
+        if (warmth >= 1) {
+            return true;
+        }
+        while (!appliance.coldWork.isEmpty() && appliance.coldWork.peekFirst()[0] < now - tipAfter) {
+            appliance.coldWork.removeFirst();
+        }
+        double sent = 0;
+        for (long[] work : appliance.coldWork) {
+            sent += work[1];
+        }
+        return sent == 0 || sent + cost(rpc) <= COLD_SAFETY * fallMultiple * warmth * warmRate * tipAfter;
+    }
+
+    // ------------------------------------------------------------------ the list
+
+    private boolean asks;
+    private long askWithin;
+    private long askedAt = LONG_AGO;
+    private boolean listAnswered;
+    private boolean fullList;
+    private boolean diskList;
+    private final List<Appliance> named = new ArrayList<>();
+
+    public void list(boolean asks, long askWithin) {
+        this.asks = asks;
+        this.askWithin = askWithin;
+    }
+
+    public void listBegins(boolean full, boolean disk) {
+        fullList = full;
+        diskList = disk;
+        named.clear();
+    }
+
+    public void listed(Appliance appliance, Build build, int zone, int cell, int kind, double rating, int state,
+                       long startedAt) {
+        named.add(appliance);
+        if (!fleet.contains(appliance)) {
+            fleet.add(appliance);
+        }
+        // A fresh start under an old id is a new process, perhaps a new machine: nothing known of it holds.
+        if (appliance.startedAt != startedAt || appliance.build != build) {
+            appliance.pace = 1;
+            appliance.silent = 0;
+            appliance.awayUntil = LONG_AGO;
+            appliance.util = Double.NaN;
+            appliance.queue = Double.NaN;
+        }
+        appliance.build = build;
+        appliance.zone = zone;
+        appliance.cell = cell;
+        appliance.kind = kind;
+        appliance.rating = rating;
+        appliance.state = state;
+        appliance.startedAt = startedAt;
+    }
+
+    public void listEnds() {
+        if (fullList) {
+            for (Appliance appliance : fleet) {
+                if (!named.contains(appliance)) {
+                    appliance.state = Appliance.GONE;
+                }
+            }
+        }
+        listAnswered |= !diskList;
+        for (Appliance appliance : named) {
+            note(appliance.build);
+        }
+        fleet.removeIf(appliance -> appliance.state == Appliance.GONE);
+    }
+
+    public void listFailed() {
+        listAnswered = false;
+        askedAt = Math.max(askedAt, now - askWithin / 4 + askWithin / 40);
+    }
+
+    private boolean askDue() {
+        return asks && !listAnswered && (askedAt == LONG_AGO || now >= askedAt + askWithin / 4);
+    }
+
+    // ------------------------------------------------------------------ decisions
+
+    /** Makes at most one call on {@code ctl}; false when there is nothing to decide now. */
+    public boolean next(Ctl ctl) {
+        rates();
+        if (askDue()) {
+            askedAt = now;
+            ctl.watch();
+            return true;
+        }
+        int verdict = verdict();
+        if (voteDue(verdict)) {
+            votedBuild = newest;
+            votedStage = stage;
+            votedVerdict = verdict;
+            votedAt = now;
+            voteOut = true;
+            voteStood = false;
+            ctl.vote(newest, stage, verdict);
+            return true;
+        }
+        while (!todo.isEmpty()) {
+            Rpc rpc = todo.removeFirst();
+            if (!rpc.closed && rpc.out == 0 && decide(rpc, ctl)) {
+                return true;
+            }
+        }
+        long wake = wakeAt();
+        if (wake < wokenFor) {
+            wokenFor = wake;
+            ctl.wake(Math.max(tick, wake - now));
+            return true;
+        }
+        return false;
+    }
+
+    private long wakeAt() {
+        long at = Long.MAX_VALUE;
+        if (asks && !listAnswered) {
+            at = Math.min(at, askedAt + askWithin / 4);
+        }
+        if (newest != null && (phase == Build.ON_TRIAL || phase == Build.RELEASED)) {
+            at = Math.min(at, now + SECOND / 10);
+        }
+        if (!held.isEmpty()) {
+            at = Math.min(at, now + 2 * tick);
+        }
+        return at;
+    }
+
+    /** Decides about an RPC that has no pick out; false when it is held. */
+    private boolean decide(Rpc rpc, Ctl ctl) {
+        boolean mayRun = firstThatMayRun(rpc) != null;
+        if (now >= rpc.deadline - 2 * tick) {
+            return finish(rpc, mayRun, ctl);
+        }
+        if (rpc.picks.size() >= maxPicks || mayRun && rpc.method.effect == Method.NON_IDEMPOTENT) {
+            return finish(rpc, mayRun, ctl);
+        }
+        if (mayRun && further < 1) {
+            return finish(rpc, true, ctl);
+        }
+        Appliance appliance = choose(rpc);
+        if (appliance != null) {
+            if (mayRun) {
+                further--;
+            }
+            send(rpc, appliance, ctl);
+            return true;
+        }
+        if (mayRun || now >= rpc.takenAt + rpc.method.softDeadline / 2 || held.size() > 4 * fleet.size() + 16) {
+            return finish(rpc, mayRun, ctl);
+        }
+        held.addLast(rpc);
+        return false;
+    }
+
+    /** The final answer for an RPC that is given up: pushed back where the rules allow, or else aborted. */
+    private boolean finish(Rpc rpc, boolean mayRun, Ctl ctl) {
+        rpc.closed = true;
+        boolean harmless = !mayRun || rpc.method.effect == Method.IDEMPOTENT
+                || rpc.method.effect == Method.TOKENED && rpc.method.scope == Method.SCOPE_ALL;
+        if (harmless && now < rpc.deadline) {
+            ctl.pushBack(rpc, stayAwayHeard ? Math.min(stayAwayMost, rpc.method.softDeadline) : 0);
+        } else {
+            ctl.abort(rpc);
+        }
+        return true;
+    }
+
+    private void send(Rpc rpc, Appliance appliance, Ctl ctl) {
+        boolean cold = warmth(appliance) < 1;
+        Pick pick = new Pick(rpc, appliance, now, cold);
+        rpc.picks.add(pick);
+        rpc.out++;
+        appliance.out.addLast(pick);
+        appliance.build.inFlight[rpc.method.index]++;
+        if (cold) {
+            appliance.coldWork.addLast(new long[] {now, (long) Math.ceil(cost(rpc))});
+        }
+        if (onTrial(appliance.build)) {
+            appliance.build.exposed.addLast(new long[] {now, exposureGroup(rpc.method)});
+        }
+        if (rpc.picks.size() == 1 && fitted != null) {
+            double fade = 1 - FADE;
+            sentOld = sentOld * fade + (appliance.build == fitted ? 0 : 1);
+            sentNew = sentNew * fade + (appliance.build == fitted ? 1 : 0);
+        }
+        ctl.pick(rpc, appliance, within(rpc));
+    }
+
+    /** How long a pick may take: shorter than the deadline only where another one may follow and still be in time. */
+    private long within(Rpc rpc) {
+        long left = Math.max(1, rpc.deadline - now);
+        Method method = rpc.method;
+        long soft = rpc.takenAt + method.softDeadline - now;
+        if (method.effect == Method.NON_IDEMPOTENT || rpc.picks.size() >= maxPicks || further < 1) {
+            return left;
+        }
+        long patience = (long) (PATIENCE * Math.min(soft, left));
+        if (patience < 2 * method.usual || soft - patience < ROOM_FOR_MORE * method.usual) {
+            return left;
+        }
+        return Math.max(1, Math.min(left, patience));
+    }
+
+    private static Pick firstThatMayRun(Rpc rpc) {
+        for (Pick pick : rpc.picks) {
+            if (pick.outcome != Pick.FULL && pick.outcome != Pick.CONNECT_FAILED && pick.outcome != Pick.MOOT) {
+                return pick;
+            }
+        }
+        return null;
+    }
+
+    /** Rules on appliances for one RPC: state, drains, effects, keys, exposure and cold starts. */
+    private boolean allowed(Rpc rpc, Appliance appliance, Pick mayRun) {
+        if (appliance.state != Appliance.UP || !keyAllows(rpc, appliance.build)) {
+            return false;
+        }
+        Method method = rpc.method;
+        if (mayRun != null && method.effect == Method.TOKENED) {
+            boolean group = method.scope == Method.SCOPE_ALL
+                    || method.scope == Method.SCOPE_ZONE && appliance.zone == mayRun.appliance.zone
+                    || method.scope == Method.SCOPE_CELL && appliance.cell == mayRun.appliance.cell;
+            if (!group || now >= mayRun.sentAt + method.tokenWindow - 4 * tick) {
+                return false;
+            }
+        }
+        return exposable(appliance.build, method) && bears(appliance, rpc);
+    }
+
+    private double sentOld;
+    private double sentNew;
+
+    private Appliance choose(Rpc rpc) {
+        Pick mayRun = firstThatMayRun(rpc);
+        Build trial = trial();
+        List<Appliance> old = new ArrayList<>();
+        List<Appliance> fresh = new ArrayList<>();
+        int readyOld = 0;
+        int readyNew = 0;
+        int latest = 0;
+        for (Appliance appliance : fleet) {
+            if (appliance.state != Appliance.UP) {
+                continue;
+            }
+            boolean isNew = appliance.build == trial;
+            readyNew += isNew ? 1 : 0;
+            readyOld += isNew ? 0 : 1;
+            if (allowed(rpc, appliance, mayRun)) {
+                (isNew ? fresh : old).add(appliance);
+                latest = isNew ? latest : Math.max(latest, appliance.build.number);
+            }
+        }
+        // After the release RPCs go to the newer build.
+        int newestOld = latest;
+        if (!old.isEmpty()) {
+            old.removeIf(appliance -> appliance.build.number < newestOld);
+        }
+        if (old.isEmpty() || fresh.isEmpty()) {
+            return lighter(rpc, old.isEmpty() ? fresh : old);
+        }
+        boolean failedNew = !rpc.picks.isEmpty() && rpc.picks.get(rpc.picks.size() - 1).build == trial;
+        return lighter(rpc, !failedNew && wantsNew(rpc, readyOld, readyNew) ? fresh : old);
+    }
+
+    /** One draw an RPC: even until the first failure, then by theta; the earlier build gets its share at most. */
+    private boolean wantsNew(Rpc rpc, int readyOld, int readyNew) {
+        if (!rpc.drawn) {
+            rpc.drawn = true;
+            rpc.drawnNew = fit.events() == 0 ? chance() < 0.5 : drawTheta() > 0;
+        }
+        double share = (double) readyOld / (readyOld + readyNew);
+        return rpc.drawnNew || sentOld > share * (sentOld + sentNew);
+    }
+
+    /** Two random choices on in-flight counts, among the healthy that were not tried yet where there are any. */
+    private Appliance lighter(Rpc rpc, List<Appliance> from) {
+        List<Appliance> best = new ArrayList<>();
+        for (Appliance appliance : from) {
+            if (now >= appliance.awayUntil && (appliance.silent < SILENT_TO_LEAVE || appliance.out.isEmpty())
+                    && !tried(rpc, appliance)) {
+                best.add(appliance);
+            }
+        }
+        List<Appliance> among = best.isEmpty() ? from : best;
+        if (among.isEmpty()) {
+            return null;
+        }
+        Appliance one = among.get((int) (chance() * among.size()));
+        Appliance two = among.get((int) (chance() * among.size()));
+        return burden(two) < burden(one) ? two : one;
+    }
+
+    private static boolean tried(Rpc rpc, Appliance appliance) {
+        for (Pick pick : rpc.picks) {
+            if (pick.appliance == appliance) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private double burden(Appliance appliance) {
+        return (appliance.out.size() + 1) * appliance.pace / warmth(appliance);
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/fleet/Appliance.java
@@ -0,0 +1,47 @@
+package honeygap.fleet;
+
+import java.util.ArrayDeque;
+
+/** The one record of an appliance: what the list says of it and what this agent has seen. */
+public final class Appliance {
+
+    public static final int UP = 0;
+    public static final int DRAINING = 1;
+    public static final int GONE = 2;
+
+    /** For the door only. */
+    public final long id;
+    public Build build;
+    public int zone;
+    public int cell;
+    public int kind;
+    public double rating = 1;
+    public int state = UP;
+    /** When its process last started; far in the past when the list gives no time. */
+    public long startedAt;
+
+    /** Picks now out, oldest first. */
+    public final ArrayDeque<Pick> out = new ArrayDeque<>();
+    /** Time of its answers over what the method usually takes; 1 is as usual. */
+    public double pace = 1;
+    public long lastAnswerAt = Long.MIN_VALUE / 2;
+    public long lastFailAt = Long.MIN_VALUE / 2;
+    /** Picks in a row that ended without a word from it. */
+    public int silent;
+    /** Left out of picks until then. */
+    public long awayUntil = Long.MIN_VALUE / 2;
+    /** Picks lately ended ok, fading, for what it takes when warm. */
+    public double oks;
+    public long oksAt;
+    /** Work sent while it is cold: time and size of each pick. */
+    public final ArrayDeque<long[]> coldWork = new ArrayDeque<>();
+    /** Its last load report: share of its cores in use, RPCs waiting; NaN when never told. */
+    public double util = Double.NaN;
+    public double queue = Double.NaN;
+    public long reportAt = Long.MIN_VALUE / 2;
+    public long probedAt = Long.MIN_VALUE / 2;
+
+    public Appliance(long id) {
+        this.id = id;
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/fleet/Build.java
@@ -0,0 +1,36 @@
+package honeygap.fleet;
+
+import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.Set;
+
+/** One build of the appliances' software and what this agent has seen of it. */
+public final class Build {
+
+    public static final int VOTE_NONE = 0;
+    public static final int VOTE_ON = 1;
+    public static final int VOTE_HOLD = 2;
+    public static final int VOTE_BACK = 3;
+
+    public static final int ON_TRIAL = 0;
+    public static final int REVERTING = 1;
+    public static final int RELEASED = 2;
+    public static final int WITHDRAWN = 3;
+
+    public final int number;
+
+    /** Picks now out, by method. */
+    public final int[] inFlight;
+    /** Picks that ended, in all and without an ok. */
+    public long ended;
+    public long failed;
+    /** Times of the picks that count against the cap, oldest first, by counted method. */
+    public final ArrayDeque<long[]> exposed = new ArrayDeque<>();
+    /** Keys that this build has answered through this agent. */
+    public final Set<String> keys = new HashSet<>();
+
+    public Build(int number, int methods) {
+        this.number = number;
+        this.inFlight = new int[methods];
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/fleet/Method.java
@@ -0,0 +1,39 @@
+package honeygap.fleet;
+
+/** One method that clients call, and what its answers have taken so far. */
+public final class Method {
+
+    public static final int IDEMPOTENT = 0;
+    public static final int TOKENED = 1;
+    public static final int NON_IDEMPOTENT = 2;
+
+    public static final int SCOPE_ALL = 0;
+    public static final int SCOPE_ZONE = 1;
+    public static final int SCOPE_CELL = 2;
+
+    public final int index;
+    public final int effect;
+    public final int scope;
+    /** How long repeats of a token are dropped. */
+    public final long tokenWindow;
+    public final long softDeadline;
+    public final long deadline;
+    public final double utility;
+    public final double lateUtility;
+
+    /** Mean time of an ok answer, in tenths of a millisecond; 0 before the first. */
+    public double usual;
+    public long answers;
+
+    public Method(int index, int effect, int scope, long tokenWindow, long softDeadline, long deadline,
+                  double utility, double lateUtility) {
+        this.index = index;
+        this.effect = effect;
+        this.scope = scope;
+        this.tokenWindow = tokenWindow;
+        this.softDeadline = softDeadline;
+        this.deadline = deadline;
+        this.utility = utility;
+        this.lateUtility = lateUtility;
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/fleet/Pick.java
@@ -0,0 +1,33 @@
+package honeygap.fleet;
+
+/** One pick of an RPC: the appliance it went to and how it ended. */
+public final class Pick {
+
+    public static final int OUT = -1;
+    public static final int OK = 0;
+    public static final int ERROR = 1;
+    public static final int FULL = 2;
+    public static final int TIMEOUT = 3;
+    public static final int CONNECT_FAILED = 4;
+    public static final int RESET = 5;
+    public static final int CANCELLED = 6;
+    public static final int MOOT = 7;
+
+    public final Rpc rpc;
+    public final Appliance appliance;
+    /** The build that the appliance ran when the pick went out. */
+    public final Build build;
+    public final long sentAt;
+    public final boolean cold;
+    public int outcome = OUT;
+    /** Already taken as an event for being late. */
+    public boolean late;
+
+    public Pick(Rpc rpc, Appliance appliance, long sentAt, boolean cold) {
+        this.rpc = rpc;
+        this.appliance = appliance;
+        this.build = appliance.build;
+        this.sentAt = sentAt;
+        this.cold = cold;
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/fleet/Rpc.java
@@ -0,0 +1,40 @@
+package honeygap.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** One RPC taken from a client. */
+public final class Rpc {
+
+    /** For the door only. */
+    public final String id;
+    public final Method method;
+    public final int tenant;
+    /** May be null. */
+    public final String key;
+    public final long takenAt;
+    /** When the client gives this try up. */
+    public final long deadline;
+    /** Expected work in tenths of a millisecond on a standard core; 0 when not told. */
+    public final long work;
+    public final boolean retry;
+    public final List<Pick> picks = new ArrayList<>(2);
+    /** Picks whose outcome is still to come. */
+    public int out;
+    public boolean closed;
+    /** The draw of theta said the build on trial; one draw an RPC. */
+    public boolean drawn;
+    public boolean drawnNew;
+
+    public Rpc(String id, Method method, int tenant, String key, long takenAt, long deadline, long work,
+               boolean retry) {
+        this.id = id;
+        this.method = method;
+        this.tenant = tenant;
+        this.key = key;
+        this.takenAt = takenAt;
+        this.deadline = deadline;
+        this.work = work;
+        this.retry = retry;
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/wire/Agent.java
@@ -0,0 +1,337 @@
+package honeygap.wire;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import honeygap.Ctl;
+import honeygap.Rules;
+import honeygap.fleet.Appliance;
+import honeygap.fleet.Build;
+import honeygap.fleet.Method;
+import honeygap.fleet.Rpc;
+import honeygap.fleet.Tenant;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One agent on the wire: maps ids to objects, tells its rules what happened, writes what they decide. */
+final class Agent implements Ctl {
+
+    private final long who;
+    private final Rules rules;
+    private final List<Method> methods = new ArrayList<>();
+    private final List<Tenant> tenants = new ArrayList<>();
+    private final Map<String, Rpc> rpcs = new HashMap<>();
+    private final Map<Long, Appliance> appliances = new HashMap<>();
+    private final Map<Integer, Build> builds = new HashMap<>();
+    private RuntimeException failure;
+    private JsonGenerator out;
+
+    Agent(long who, long now, long seed, Fields info) throws Malformed {
+        this.who = who;
+        for (Fields method : info.objects("Classes")) {
+            methods.add(new Method(methods.size(), effect(method.text("Effect")),
+                    scope(method.text("KeyScope", "all")), method.tenths("WindowNs", 0), method.tenths("AimNs"),
+                    method.tenths("GiveUpNs"), method.number("Worth", 1), method.number("LateWorth", 0)));
+        }
+        if (info.has("Accounts")) {
+            for (Fields tenant : info.objects("Accounts")) {
+                tenants.add(new Tenant(tenant.number("Share", 0), tenant.number("QuotaPerS", 0)));
+            }
+        }
+        Fields ceilings = info.part("Ceilings");
+        Fields family = info.part("FamilyInfo");
+        Fields guards = info.part("Rules");
+        rules = new Rules(now, seed, info.index("FleetSize", 1), info.index("Zone", 0), info.tenths("TickNs"),
+                methods, tenants, info.number("OverShareWorth", 1));
+        rules.picks(ceilings.index("MaxAttempts", 1), ceilings.flag("SecondCopies", false),
+                ceilings.flag("Cancel", false), ceilings.flag("RetryAfter", false),
+                ceilings.tenths("MaxRetryAfterNs", 0));
+        rules.health(ceilings.flag("Probing", false), info.part("Feedback").text("How", "off").equals("on_probe"),
+                ceilings.tenths("ConnectTimeoutNs", 0));
+        rules.list(info.text("RegistryMode", "push").equals("ask"), guards.tenths("MustAskInNs", 0));
+        rules.cold(guards.number("ColdFrom", 1), guards.tenths("WarmAfterNs", 0),
+                guards.number("FallMultiple", 1), guards.tenths("TipAfterNs", 0));
+        rules.desk(gate(family.text("GateMode", "first_voice")), family.index("AyesNeeded", 1),
+                family.tenths("SoakNs", 0), family.tenths("VoteStandsNs", 0), family.tenths("CallTimeoutNs", 0),
+                family.number("VotesPerS", 1));
+        rules.exposure(family.has("Caps") ? family.numbers("Caps") : new double[0],
+                family.has("Waves") ? family.numbers("Waves") : new double[0],
+                family.tenths("WindowNs", 0), family.number("Uncounted", 0),
+                family.text("CapScope", "all").equals("each_class"), family.index("Shielded", 0),
+                family.flag("KeysStay", false));
+    }
+
+    private static int effect(String word) throws Malformed {
+        switch (word) {
+            case "read_like":
+                return Method.IDEMPOTENT;
+            case "idempotency_key":
+                return Method.TOKENED;
+            case "non_idempotent":
+                return Method.NON_IDEMPOTENT;
+            default:
+                throw new Malformed("unknown Effect " + word);
+        }
+    }
+
+    private static int scope(String word) throws Malformed {
+        switch (word) {
+            case "all":
+                return Method.SCOPE_ALL;
+            case "zone":
+                return Method.SCOPE_ZONE;
+            case "cell":
+                return Method.SCOPE_CELL;
+            default:
+                throw new Malformed("unknown KeyScope " + word);
+        }
+    }
+
+    private static int gate(String word) throws Malformed {
+        switch (word) {
+            case "first_voice":
+                return Rules.FIRST_VOICE;
+            case "by_count":
+                return Rules.BY_COUNT;
+            case "automatic":
+                return Rules.AUTOMATIC;
+            default:
+                throw new Malformed("unknown GateMode " + word);
+        }
+    }
+
+    /** Hands one event on. A fault in the rules is kept for the reply; a malformed event is thrown. */
+    void take(long now, String name, Fields event, Map<Long, List<Fields>> sheets) throws Malformed {
+        if (failure != null) {
+            return;
+        }
+        try {
+            rules.now(now);
+            tell(now, name, event, sheets);
+        } catch (RuntimeException e) {
+            failure = e;
+        }
+    }
+
+    private void tell(long now, String name, Fields event, Map<Long, List<Fields>> sheets) throws Malformed {
+        switch (name) {
+            case "NewRequest":
+                Rpc rpc = new Rpc(event.text("Xid"), method(event), event.index("UserGroup", 0),
+                        event.text("NameKey", null), now, now + event.tenths("TimeBudgetNs"),
+                        event.tenths("SizeHintNs", 0), event.flag("Retry", false));
+                rpcs.put(rpc.id, rpc);
+                rules.taken(rpc);
+                break;
+            case "Completed":
+                completed(event);
+                break;
+            case "Left":
+                Rpc left = rpcs.get(event.text("Xid"));
+                if (left != null) {
+                    rules.left(left);
+                    forget(left);
+                }
+                break;
+            case "Fleet":
+                fleet(event, sheets);
+                break;
+            case "ShipState":
+                rules.told(build(event.index("Image", 0)), event.index("Phase", 0), event.index("Tranche", 0),
+                        event.number("Exposure", 0), event.index("Sense", 0) == 1,
+                        now - event.tenths("LatenessNs", 0), event.index("Reason"));
+                break;
+            case "Digest":
+                rules.counted(build(event.index("Image")), method(event), event.whole("Many"), event.whole("Bad"),
+                        event.tenths("LagNs", 0), event.tenths("LatenessNs", 0));
+                break;
+            case "Contested":
+                rules.contested(appliance(event.whole("Appliance")), method(event),
+                        event.tenths("LatenessNs", 0));
+                break;
+            case "ProbeResult":
+                Fields load = event.part("Pressure");
+                rules.probed(appliance(event.whole("Appliance")), event.index("Reason"),
+                        load.number("load_share", Double.NaN), load.number("depth", Double.NaN));
+                break;
+            case "Fired":
+                rules.woken();
+                break;
+            default:
+                break;
+        }
+    }
+
+    private void completed(Fields event) throws Malformed {
+        Rpc rpc = rpcs.get(event.text("Xid"));
+        if (rpc == null) {
+            return;
+        }
+        int go = event.index("Go");
+        if (go >= rpc.picks.size()) {
+            throw new Malformed("attempt " + go + " was never sent");
+        }
+        Fields load = event.part("Pressure");
+        rules.ended(rpc, go, event.index("Reason"), event.flag("NoMore", false),
+                load.number("load_share", Double.NaN), load.number("depth", Double.NaN));
+        forget(rpc);
+    }
+
+    private void fleet(Fields event, Map<Long, List<Fields>> sheets) throws Malformed {
+        String mode = event.text("Mode");
+        if (mode.equals("error")) {
+            rules.listFailed();
+            return;
+        }
+        long sheet = event.whole("Sheet");
+        if (!sheets.containsKey(sheet)) {
+            throw new Malformed("list " + sheet + " was not sent");
+        }
+        rules.listBegins(!mode.equals("diff"), mode.equals("disk"));
+        for (Fields entry : sheets.get(sheet)) {
+            rules.listed(appliance(entry.whole("Appliance")), build(entry.rounded("Edition")),
+                    entry.index("RegionPart", 0), entry.index("Pack", 0), entry.index("Machine", 0),
+                    entry.number("Rating", 1), state(entry.text("Availability")),
+                    entry.whole("LastStartNs", 0) == 0 ? Rules.LONG_AGO : entry.tenths("LastStartNs"));
+        }
+        rules.listEnds();
+    }
+
+    private static int state(String word) throws Malformed {
+        switch (word) {
+            case "up":
+                return Appliance.UP;
+            case "draining":
+                return Appliance.DRAINING;
+            case "removed":
+                return Appliance.GONE;
+            default:
+                throw new Malformed("unknown Availability " + word);
+        }
+    }
+
+    private Method method(Fields event) throws Malformed {
+        int index = event.index("Category");
+        if (index >= methods.size()) {
+            throw new Malformed("unknown Category " + index);
+        }
+        return methods.get(index);
+    }
+
+    private Appliance appliance(long id) {
+        return appliances.computeIfAbsent(id, Appliance::new);
+    }
+
+    private Build build(int number) {
+        return builds.computeIfAbsent(number, n -> new Build(n, methods.size()));
+    }
+
+    /** An RPC stays known until it is closed and all its picks have ended. */
+    private void forget(Rpc rpc) {
+        if (rpc.closed && rpc.out == 0) {
+            rpcs.remove(rpc.id);
+        }
+    }
+
+    /** Pulls decisions one by one and writes them. */
+    void decide(JsonGenerator reply) throws IOException {
+        if (failure != null) {
+            throw failure;
+        }
+        out = reply;
+        try {
+            boolean more = true;
+            while (more) {
+                more = rules.next(this);
+            }
+        } catch (UncheckedIOException e) {
+            throw e.getCause();
+        }
+    }
+
+    @Override
+    public void pick(Rpc rpc, Appliance appliance, long within) {
+        write("PassOn", () -> {
+            out.writeStringField("Xid", rpc.id);
+            out.writeNumberField("Appliance", appliance.id);
+            out.writeNumberField("WithinNs", within * Fields.NS);
+        });
+    }
+
+    @Override
+    public void pushBack(Rpc rpc, long stayAway) {
+        write("TurnAway", () -> {
+            out.writeStringField("Xid", rpc.id);
+            out.writeNumberField("NotBeforeForNs", stayAway * Fields.NS);
+        });
+        forget(rpc);
+    }
+
+    @Override
+    public void abort(Rpc rpc) {
+        write("DropRequest", () -> out.writeStringField("Xid", rpc.id));
+        forget(rpc);
+    }
+
+    @Override
+    public void cancel(Rpc rpc, int pick) {
+        write("CallOff", () -> {
+            out.writeStringField("Xid", rpc.id);
+            out.writeNumberField("Go", pick);
+        });
+    }
+
+    @Override
+    public void probe(Appliance appliance) {
+        write("HealthCheck", () -> out.writeNumberField("Appliance", appliance.id));
+    }
+
+    @Override
+    public void vote(Build build, int stage, int verdict) {
+        write("Ruling", () -> {
+            out.writeNumberField("Image", build.number);
+            out.writeNumberField("Tranche", stage);
+            out.writeNumberField("Sense", verdict);
+        });
+    }
+
+    @Override
+    public void watch() {
+        write("Tail", () -> out.writeBooleanField("Active", true));
+    }
+
+    @Override
+    public void fetch() {
+        write("Snapshot", () -> { });
+    }
+
+    @Override
+    public void wake(long delay) {
+        write("SetAlarm", () -> {
+            out.writeNumberField("FromNowNs", delay * Fields.NS);
+            out.writeNumberField("Token", 0);
+        });
+    }
+
+    @Override
+    public void note(String line) {
+        write("Emit", () -> out.writeStringField("Message", line));
+    }
+
+    private interface Body {
+        void write() throws IOException;
+    }
+
+    private void write(String name, Body body) {
+        try {
+            out.writeStartObject();
+            out.writeStringField("cmd", name);
+            out.writeNumberField("Who", who);
+            body.write();
+            out.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/wire/Fields.java
@@ -0,0 +1,166 @@
+package honeygap.wire;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The fields of one JSON object, by name. Reading a field that is missing or of another type is a fault. */
+final class Fields {
+
+    /** Tenths of a millisecond, the unit of the core, in the wire's nanoseconds. */
+    static final long NS = 100_000;
+
+    private static final Fields NONE = new Fields();
+
+    private final Map<String, Object> values = new LinkedHashMap<>();
+
+    /** Reads the object that the parser has just entered. */
+    static Fields read(JsonParser in) throws IOException {
+        Fields fields = new Fields();
+        while (in.nextToken() != JsonToken.END_OBJECT) {
+            String name = in.currentName();
+            in.nextToken();
+            fields.values.put(name, value(in));
+        }
+        return fields;
+    }
+
+    private static Object value(JsonParser in) throws IOException {
+        switch (in.currentToken()) {
+            case START_OBJECT:
+                return read(in);
+            case START_ARRAY:
+                List<Object> list = new ArrayList<>();
+                while (in.nextToken() != JsonToken.END_ARRAY) {
+                    list.add(value(in));
+                }
+                return list;
+            case VALUE_STRING:
+                return in.getText();
+            case VALUE_NUMBER_INT:
+                return in.getNumberType() == JsonParser.NumberType.BIG_INTEGER
+                        ? in.getBigIntegerValue().longValue() : in.getLongValue();
+            case VALUE_NUMBER_FLOAT:
+                return in.getDoubleValue();
+            case VALUE_TRUE:
+                return true;
+            case VALUE_FALSE:
+                return false;
+            default:
+                return null;
+        }
+    }
+
+    boolean has(String name) {
+        return values.get(name) != null;
+    }
+
+    long whole(String name) throws Malformed {
+        return get(name, Long.class, "a whole number");
+    }
+
+    long whole(String name, long ifAbsent) throws Malformed {
+        return has(name) ? whole(name) : ifAbsent;
+    }
+
+    /** A small whole number. */
+    int index(String name) throws Malformed {
+        return small(name, whole(name));
+    }
+
+    int index(String name, int ifAbsent) throws Malformed {
+        return has(name) ? index(name) : ifAbsent;
+    }
+
+    /** A time or duration, rounded down to whole tenths of a millisecond. */
+    long tenths(String name) throws Malformed {
+        return Math.floorDiv(whole(name), NS);
+    }
+
+    long tenths(String name, long ifAbsent) throws Malformed {
+        return has(name) ? tenths(name) : ifAbsent;
+    }
+
+    double number(String name) throws Malformed {
+        return get(name, Number.class, "a number").doubleValue();
+    }
+
+    double number(String name, double ifAbsent) throws Malformed {
+        return has(name) ? number(name) : ifAbsent;
+    }
+
+    /** A whole number that may be written with a fraction of zero. */
+    int rounded(String name) throws Malformed {
+        return small(name, Math.round(number(name)));
+    }
+
+    boolean flag(String name) throws Malformed {
+        return get(name, Boolean.class, "true or false");
+    }
+
+    boolean flag(String name, boolean ifAbsent) throws Malformed {
+        return has(name) ? flag(name) : ifAbsent;
+    }
+
+    String text(String name) throws Malformed {
+        return get(name, String.class, "a string");
+    }
+
+    String text(String name, String ifAbsent) throws Malformed {
+        return has(name) ? text(name) : ifAbsent;
+    }
+
+    Fields object(String name) throws Malformed {
+        return get(name, Fields.class, "an object");
+    }
+
+    /** An object that may be absent, and is empty then. */
+    Fields part(String name) throws Malformed {
+        return has(name) ? object(name) : NONE;
+    }
+
+    List<Fields> objects(String name) throws Malformed {
+        List<Fields> objects = new ArrayList<>();
+        for (Object value : get(name, List.class, "a list")) {
+            if (!(value instanceof Fields fields)) {
+                throw new Malformed("field " + name + " holds something other than objects");
+            }
+            objects.add(fields);
+        }
+        return objects;
+    }
+
+    double[] numbers(String name) throws Malformed {
+        List<?> list = get(name, List.class, "a list");
+        double[] numbers = new double[list.size()];
+        for (int i = 0; i < numbers.length; i++) {
+            if (!(list.get(i) instanceof Number number)) {
+                throw new Malformed("field " + name + " holds something other than numbers");
+            }
+            numbers[i] = number.doubleValue();
+        }
+        return numbers;
+    }
+
+    private <T> T get(String name, Class<T> type, String wanted) throws Malformed {
+        Object value = values.get(name);
+        if (value == null) {
+            throw new Malformed("field " + name + " is missing");
+        }
+        if (!type.isInstance(value)) {
+            throw new Malformed("field " + name + " is not " + wanted);
+        }
+        return type.cast(value);
+    }
+
+    private static int small(String name, long value) throws Malformed {
+        if (value < 0 || value > Integer.MAX_VALUE) {
+            throw new Malformed("field " + name + " is out of range: " + value);
+        }
+        return (int) value;
+    }
+}
