Limit own picks per appliance by timeliness: cold starts kept, no collapse on overload

Cause: picks piled up until everything came late; full appliances were asked again and again. Left: the price for being behind (good builds never released) and RPCs pushed back.

--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -43,6 +43,11 @@
     private static final double FURTHER_SHARE = 0.1;
     private static final double FURTHER_MOST = 10;
     private static final double FADE = 1.0 / 32;
+    /** Part of the soft deadline past which an answer says that its appliance holds too much, and the cut then. */
+    private static final double LATE = 0.5;
+    private static final double CUT = 0.8;
+    /** Part of the soft deadline for which an RPC waits for a place before it is pushed back. */
+    private static final double HELD = 0.25;
     /** How much of what a cold appliance can bear is used: chance, and work that was not foreseen. */
     private static final double COLD_SAFETY = 0.6;
     /** Silent picks in a row before an appliance is left out, and for how many usual times of its methods. */
@@ -141,6 +146,7 @@
         pick.build.inFlight[rpc.method.index]--;
         report(appliance, util, queue);
         long lag = now - pick.sentAt;
+        pace(appliance, rpc.method, outcome, lag);
         if (outcome == Pick.OK) {
             answered(pick, lag);
         } else if (outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED) {
@@ -178,6 +184,24 @@
         }
     }
 
+    /**
+     * How many picks the appliance may hold of this agent: more while answers come well before the soft deadline,
+     * fewer when they come late or not at all. Guards against a jam, whatever made it: overload, a burst, a slow
+     * appliance, everything slower at once. Could harm where a method is slow by nature; its floor is one pick.
+     */
+    private void pace(Appliance appliance, Method method, int outcome, long lag) {
+        boolean late = outcome == Pick.FULL || outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED
+                || lag > LATE * method.softDeadline;
+        if (!late) {
+            if (outcome == Pick.OK && appliance.out.size() >= appliance.limit / 2) {
+                appliance.limit += 1 / appliance.limit;
+            }
+        } else if (now >= appliance.cutAt + method.usual) {
+            appliance.limit = Math.max(1, Math.min(appliance.limit, appliance.out.size() + 1) * CUT);
+            appliance.cutAt = now;
+        }
+    }
+
     private void silence(Appliance appliance, Method method) {
         appliance.silent++;
         appliance.lastFailAt = now;
@@ -740,7 +764,7 @@
             send(rpc, appliance, ctl);
             return true;
         }
-        if (mayRun || now >= rpc.takenAt + rpc.method.softDeadline / 2 || held.size() > 4 * fleet.size() + 16) {
+        if (mayRun || now >= rpc.takenAt + HELD * rpc.method.softDeadline) {
             return finish(rpc, mayRun, ctl);
         }
         held.addLast(rpc);
@@ -877,6 +901,7 @@
             }
         }
         List<Appliance> among = best.isEmpty() ? from : best;
+        among.removeIf(appliance -> appliance.out.size() >= appliance.limit);
         if (among.isEmpty()) {
             return null;
         }
--- a/src/main/java/honeygap/fleet/Appliance.java
+++ b/src/main/java/honeygap/fleet/Appliance.java
@@ -24,6 +24,9 @@
     public final ArrayDeque<Pick> out = new ArrayDeque<>();
     /** Time of its answers over what the method usually takes; 1 is as usual. */
     public double pace = 1;
+    /** How many picks it may hold of this agent, and when that was last cut. */
+    public double limit = 8;
+    public long cutAt = Long.MIN_VALUE / 2;
     public long lastAnswerAt = Long.MIN_VALUE / 2;
     public long lastFailAt = Long.MIN_VALUE / 2;
     /** Picks in a row that ended without a word from it. */
