--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -32,7 +32,6 @@
     private static final double BACK_CHANCE = 0.95;
     private static final double HOLD_CHANCE = 0.8;
     private static final int FAILURES_TO_JUDGE = 3;
-    private static final int CLEAN_PICKS = 20;
     private static final long ON_WAIT = 3 * SECOND;
 
     /** Part of the time left to the soft deadline after which a pick that may be repeated is given up. */
@@ -458,7 +457,7 @@
         if (gate == AUTOMATIC) {
             return fit.ofNew() >= FAILURES_TO_JUDGE && fit.worse() > HOLD_CHANCE ? Build.VOTE_HOLD : Build.VOTE_NONE;
         }
-        boolean good = fit.events() > 0 && fit.mode() >= 0 || fit.ofNew() == 0 && trialPicks >= CLEAN_PICKS;
+        boolean good = fit.ofNew() < FAILURES_TO_JUDGE || fit.worse() <= HOLD_CHANCE;
         return good && now >= onAfter() ? Build.VOTE_ON : Build.VOTE_NONE;
     }
 
