--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -143,6 +143,7 @@
         rpc.out--;
         appliance.out.remove(pick);
         pick.build.inFlight[rpc.method.index]--;
+        pick.build.warmInFlight[rpc.method.index] -= pick.cold ? 0 : 1;
         report(appliance, util, queue);
         long lag = now - pick.sentAt;
         pace(appliance, rpc.method, outcome, lag);
@@ -324,17 +325,19 @@
                 && outcome != Pick.CONNECT_FAILED || fitted == null) {
             return;
         }
-        // A silent appliance is one event however many picks it held: it must not convict its build.
-        if ((outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED) && pick.appliance.silent > 0) {
+        boolean slow = outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED;
+        // A silent appliance is one event however many picks it held, and one that is still cold may time out by
+        // being cold: neither must convict its build. Harm: a build that only ever times out is judged later.
+        if (slow && (pick.appliance.silent > 0 || pick.cold)) {
             return;
         }
         // Strata by method: methods kept from the trial build, and ones that fail by nature, say nothing of it.
         int method = pick.rpc.method.index;
         int old = 0;
         for (Build build : builds) {
-            old += build == fitted ? 0 : build.inFlight[method];
+            old += build == fitted ? 0 : (slow ? build.warmInFlight : build.inFlight)[method];
         }
-        fit.event(old, fitted.inFlight[method], pick.build == fitted);
+        fit.event(old, (slow ? fitted.warmInFlight : fitted.inFlight)[method], pick.build == fitted);
     }
 
     private double chance() {
@@ -790,6 +793,7 @@
         rpc.out++;
         appliance.out.addLast(pick);
         appliance.build.inFlight[rpc.method.index]++;
+        appliance.build.warmInFlight[rpc.method.index] += cold ? 0 : 1;
         if (cold) {
             appliance.coldWork.addLast(new long[] {now, (long) Math.ceil(cost(rpc))});
         }
--- a/src/main/java/honeygap/fleet/Build.java
+++ b/src/main/java/honeygap/fleet/Build.java
@@ -21,9 +21,8 @@
 
     /** Picks now out, by method. */
     public final int[] inFlight;
-    /** Picks that ended, in all and without an ok. */
-    public long ended;
-    public long failed;
+    /** The part of them that went to appliances no longer cold. */
+    public final int[] warmInFlight;
     /** Times of the picks that count against the cap, oldest first, by counted method. */
     public final ArrayDeque<long[]> exposed = new ArrayDeque<>();
     /** Keys that this build has answered through this agent. */
@@ -32,5 +31,6 @@
     public Build(int number, int methods) {
         this.number = number;
         this.inFlight = new int[methods];
+        this.warmInFlight = new int[methods];
     }
 }
