--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -43,7 +43,7 @@
     private static final double FURTHER_MOST = 10;
     private static final double FADE = 1.0 / 32;
     /** Part of the soft deadline past which an answer says that its appliance holds too much, and the cut then. */
-    private static final double LATE = 0.5;
+    private static final double LATE = 0.75;
     private static final double CUT = 0.8;
     /** Part of the soft deadline for which an RPC waits for a place before it is pushed back. */
     private static final double HELD = 0.25;
@@ -197,7 +197,7 @@
                 appliance.limit += 1 / appliance.limit;
             }
         } else if (now >= appliance.cutAt + method.usual) {
-            appliance.limit = Math.max(1, Math.min(appliance.limit, appliance.out.size() + 1) * CUT);
+            appliance.limit = Math.max(1, appliance.limit * CUT);
             appliance.cutAt = now;
         }
     }
