--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -32,6 +32,8 @@
     private static final double BACK_CHANCE = 0.95;
     private static final double HOLD_CHANCE = 0.8;
     private static final int FAILURES_TO_JUDGE = 3;
+    /** A trial build may fail this many times as much before it counts as worse: it carries more than its share. */
+    private static final double TOLERATED = 2;
     private static final long ON_WAIT = 3 * SECOND;
 
     /** Part of the time left to the soft deadline after which a pick that may be repeated is given up. */
@@ -272,9 +274,9 @@
             return 1 / Math.sqrt(curvature);
         }
 
-        /** Chance that theta lies below zero: the build on trial fails more. */
-        double worse() {
-            return normal(-mode() / spread());
+        /** Chance that the build on trial fails more than this many times as much as the earlier one. */
+        double worse(double times) {
+            return normal((-Math.log(times) - mode()) / spread());
         }
 
         private void solve() {
@@ -451,16 +453,16 @@
         if (newest == null || newest != fitted || phase == Build.WITHDRAWN || phase == Build.REVERTING) {
             return Build.VOTE_NONE;
         }
-        if (fit.ofNew() >= FAILURES_TO_JUDGE && fit.worse() > BACK_CHANCE) {
+        if (fit.ofNew() >= FAILURES_TO_JUDGE && fit.worse(TOLERATED) > BACK_CHANCE) {
             return Build.VOTE_BACK;
         }
         if (phase == Build.RELEASED) {
             return Build.VOTE_NONE;
         }
         if (gate == AUTOMATIC) {
-            return fit.ofNew() >= FAILURES_TO_JUDGE && fit.worse() > HOLD_CHANCE ? Build.VOTE_HOLD : Build.VOTE_NONE;
+            return fit.ofNew() >= FAILURES_TO_JUDGE && fit.worse(TOLERATED) > HOLD_CHANCE ? Build.VOTE_HOLD : Build.VOTE_NONE;
         }
-        boolean good = fit.ofNew() < FAILURES_TO_JUDGE || fit.worse() <= HOLD_CHANCE;
+        boolean good = fit.ofNew() < FAILURES_TO_JUDGE || fit.worse(TOLERATED) <= HOLD_CHANCE;
         return good && now >= onAfter() ? Build.VOTE_ON : Build.VOTE_NONE;
     }
 
