Cold budget follows the answered work; fresh starts begin with few picks; votes are noted

Incident on ktm (6 agents, 20 servers): a cold server was sent 4.1 times what it could do while everything was slow, since the budget kept the peak of what warm ones took.

--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -26,6 +26,7 @@
     public static final int BY_COUNT = 1;
     public static final int AUTOMATIC = 2;
 
+    private static final String[] VERDICTS = {"takes its vote away", "votes on", "votes hold", "votes back"};
     private static final long SECOND = 10_000;
 
     // The design's starting values.
@@ -44,6 +45,9 @@
     private static final double FURTHER_SHARE = 0.1;
     private static final double FURTHER_MOST = 10;
     private static final double FADE = 1.0 / 32;
+    private static final double RATE_FADE = 1.0 / 3;
+    /** Picks an appliance may hold of this agent at first; in part while it is cold. */
+    private static final double LIMIT_START = 8;
     /** Part of the soft deadline past which an answer says that its appliance holds too much, and the cut then. */
     private static final double LATE = 0.75;
     private static final double CUT = 0.8;
@@ -379,6 +383,7 @@
     private int votedVerdict;
     private long votedAt = LONG_AGO;
     private boolean voteOut;
+    private String line;
     private boolean voteStood;
 
     public void desk(int gate, int ayes, long soak, long voteStands, long callTimeout, double votesPerS) {
@@ -603,8 +608,8 @@
             up += appliance.state != Appliance.GONE ? 1 : 0;
         }
         if (rateSince > LONG_AGO && up > 0) {
-            double rate = Math.max(warmWork, takenWork) / (now - rateSince) / up;
-            warmRate = Math.max(rate, warmRate + FADE * (rate - warmRate));
+            double rate = (warmWork > 0 || warmRate > 0 ? warmWork : takenWork) / (now - rateSince) / up;
+            warmRate += (warmRate > 0 ? RATE_FADE : 1) * (rate - warmRate);
         }
         warmWork = 0;
         takenWork = 0;
@@ -664,6 +669,7 @@
             appliance.awayUntil = LONG_AGO;
             appliance.util = Double.NaN;
             appliance.queue = Double.NaN;
+            appliance.limit = LIMIT_START * (now < startedAt + warmAfter ? coldFrom / 2 : 1);
         }
         appliance.build = build;
         appliance.zone = zone;
@@ -709,7 +715,18 @@
             return true;
         }
         int verdict = verdict();
+        if (line != null) {
+            String said = line;
+            line = null;
+            ctl.note(said);
+            return true;
+        }
         if (voteDue(verdict)) {
+            if (verdict != votedVerdict) {
+                line = String.format("%s: build %d, stage %d, %d events, %d of the build, theta %.2f +- %.2f",
+                        VERDICTS[verdict], newest.number, stage, fit.events(), fit.ofNew(), fit.mode(),
+                        fit.spread());
+            }
             votedBuild = newest;
             votedStage = stage;
             votedVerdict = verdict;
--- a/src/main/java/honeygap/fleet/Appliance.java
+++ b/src/main/java/honeygap/fleet/Appliance.java
@@ -25,7 +25,7 @@
     /** Time of its answers over what the method usually takes; 1 is as usual. */
     public double pace = 1;
     /** How many picks it may hold of this agent, and when that was last cut. */
-    public double limit = 8;
+    public double limit;
     public long cutAt = Long.MIN_VALUE / 2;
     public long lastAnswerAt = Long.MIN_VALUE / 2;
     public long lastFailAt = Long.MIN_VALUE / 2;
@@ -33,9 +33,6 @@
     public int silent;
     /** Left out of picks until then. */
     public long awayUntil = Long.MIN_VALUE / 2;
-    /** Picks lately ended ok, fading, for what it takes when warm. */
-    public double oks;
-    public long oksAt;
     /** Work sent while it is cold: time and size of each pick. */
     public final ArrayDeque<long[]> coldWork = new ArrayDeque<>();
     /** Its last load report: share of its cores in use, RPCs waiting; NaN when never told. */
