--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -482,7 +482,9 @@
             }
         }
         int wanted = stage < waves.length ? Math.max(1, (int) (waves[stage] * places)) : 1;
-        return listed >= wanted ? last + ON_WAIT : Long.MAX_VALUE;
+        // A list that lags, or appliances that cannot start, must not hold a good build up for ever. Harm: 'on' is
+        // said with less of the stage seen.
+        return listed >= wanted ? last + ON_WAIT : Math.max(last, stageSince + 2 * ON_WAIT) + ON_WAIT;
     }
 
     private boolean voteDue(int verdict) {
