--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -51,6 +51,8 @@
     /** Part of the soft deadline past which an answer says that its appliance holds too much, and the cut then. */
     private static final double LATE = 0.75;
     private static final double CUT = 0.8;
+    /** The lighter appliance of the build on trial may carry this many times the burden of the earlier one's. */
+    private static final double BURIED = 2;
     /** Part of the soft deadline for which an RPC waits for a place before it is pushed back. */
     private static final double HELD = 0.25;
     /** How much of what a cold appliance can bear is used: chance, and work that was not foreseen. */
@@ -902,7 +904,14 @@
             return lighter(rpc, old.isEmpty() ? fresh : old);
         }
         boolean failedNew = !rpc.picks.isEmpty() && rpc.picks.get(rpc.picks.size() - 1).build == trial;
-        return lighter(rpc, !failedNew && wantsNew(rpc, readyOld, readyNew) ? fresh : old);
+        Appliance ofOld = lighter(rpc, old);
+        Appliance ofNew = lighter(rpc, fresh);
+        if (ofOld == null || ofNew == null) {
+            return ofOld == null ? ofNew : ofOld;
+        }
+        // Few appliances of a wide stage are up, or they are jammed: the draw must not bury them.
+        boolean buried = burden(ofNew) > BURIED * burden(ofOld);
+        return !buried && !failedNew && wantsNew(rpc, readyOld, readyNew) ? ofNew : ofOld;
     }
 
     /** One draw an RPC: even until the first failure, then by theta; the earlier build gets its share at most. */
