--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -99,6 +99,8 @@
         this.methods = methods;
         this.tenants = tenants;
         this.overShareUtility = overShareUtility;
+        errorsOld = new double[methods.size()];
+        endedOld = new double[methods.size()];
     }
 
     public void picks(int most, boolean copies, boolean mayCancel, boolean stayAwayHeard, long stayAwayMost) {
@@ -241,30 +243,41 @@
      */
     static final class Fit {
 
-        private double[] oOld = new double[64];
-        private double[] oNew = new double[64];
-        private int events;
-        private int ofNew;
+        // Event j: how many failed at once, of them on the new build, and the risk sets. The first are grouped ones.
+        private double[][] risk;
+        private int size;
+        private double events;
+        private double ofNew;
         private double mode;
         private double curvature = 1;
         private boolean stale;
 
+        Fit(int groups) {
+            risk = new double[groups + 64][4];
+            size = groups;
+        }
+
         void event(double oOld, double oNew, boolean isNew) {
-            if (events == this.oOld.length) {
-                this.oOld = Arrays.copyOf(this.oOld, 2 * events);
-                this.oNew = Arrays.copyOf(this.oNew, 2 * events);
+            if (size == risk.length) {
+                risk = Arrays.copyOf(risk, 2 * size);
             }
-            this.oOld[events] = oOld;
-            this.oNew[events++] = oNew;
-            ofNew += isNew ? 1 : 0;
+            group(size++, isNew ? 0 : 1, isNew ? 1 : 0, oOld, oNew);
+        }
+
+        /** Sets a group of events that share their risk set: failures and picks of either build. */
+        void group(int slot, double failedOld, double failedNew, double oOld, double oNew) {
+            double[] was = risk[slot] == null ? new double[4] : risk[slot];
+            events += failedOld + failedNew - was[0];
+            ofNew += failedNew - was[1];
+            risk[slot] = new double[] {failedOld + failedNew, failedNew, oOld, oNew};
             stale = true;
         }
 
-        int events() {
+        double events() {
             return events;
         }
 
-        int ofNew() {
+        double ofNew() {
             return ofNew;
         }
 
@@ -295,11 +308,11 @@
                 double slope = -ofNew - theta;
                 curvature = 1;
                 double ratio = Math.exp(-theta);
-                for (int j = 0; j < events; j++) {
-                    double risk = oOld[j] + oNew[j] * ratio;
-                    double part = risk > 0 ? oNew[j] * ratio / risk : 0;
-                    slope += part;
-                    curvature += part * (1 - part);
+                for (int j = 0; j < size; j++) {
+                    double all = risk[j][2] + risk[j][3] * ratio;
+                    double part = all > 0 ? risk[j][3] * ratio / all : 0;
+                    slope += risk[j][0] * part;
+                    curvature += risk[j][0] * part * (1 - part);
                 }
                 double step = slope / curvature;
                 theta += Math.max(-1, Math.min(1, step));
@@ -321,13 +334,34 @@
 
     /** The build on trial that the fit is of, the earlier build being all others; a new build starts a new fit. */
     private Build fitted;
-    private Fit fit = new Fit();
-    private long trialPicks;
+    private Fit fit = new Fit(0);
+    // By method: errors and picks of the earlier builds, and of the fitted one while no earlier one was at risk.
+    private double[] errorsOld;
+    private double[] endedOld;
+    private double[] errorsLone;
+    private double[] endedLone;
 
     /** Errors, time-outs, resets and failed connections are events; the failing pick is still in its risk set. */
     private void judge(Pick pick, int outcome) {
-        if (pick.build == fitted && outcome != Pick.CANCELLED && outcome != Pick.MOOT) {
-            trialPicks++;
+        int method = pick.rpc.method.index;
+        int old = 0;
+        for (Build build : builds) {
+            old += build == fitted ? 0 : build.inFlight[method];
+        }
+        boolean failed = outcome == Pick.ERROR || outcome == Pick.RESET;
+        if (failed || outcome == Pick.OK) {
+            if (pick.build != fitted) {
+                endedOld[method]++;
+                errorsOld[method] += failed ? 1 : 0;
+            } else if (old == 0) {
+                // No earlier build is at risk: the last stage, or after the release. What it did before stands in
+                // as a grouped risk set, for errors and resets only, which hardly depend on load. Guards against
+                // builds that turn bad late or under load. Harm: errors that begin anywhere else just then.
+                endedLone[method]++;
+                errorsLone[method] += failed ? 1 : 0;
+                fit.group(method, errorsOld[method], errorsLone[method], endedOld[method], endedLone[method]);
+                return;
+            }
         }
         if (outcome != Pick.ERROR && outcome != Pick.TIMEOUT && outcome != Pick.RESET
                 && outcome != Pick.CONNECT_FAILED || fitted == null) {
@@ -340,10 +374,11 @@
             return;
         }
         // Strata by method: methods kept from the trial build, and ones that fail by nature, say nothing of it.
-        int method = pick.rpc.method.index;
-        int old = 0;
-        for (Build build : builds) {
-            old += build == fitted ? 0 : (slow ? build.warmInFlight : build.inFlight)[method];
+        if (slow) {
+            old = 0;
+            for (Build build : builds) {
+                old += build == fitted ? 0 : build.warmInFlight[method];
+            }
         }
         fit.event(old, (slow ? fitted.warmInFlight : fitted.inFlight)[method], pick.build == fitted);
     }
@@ -429,8 +464,9 @@
         Build trial = trial();
         if (trial != null && trial != fitted) {
             fitted = trial;
-            fit = new Fit();
-            trialPicks = 0;
+            fit = new Fit(methods.size());
+            errorsLone = new double[methods.size()];
+            endedLone = new double[methods.size()];
             places = 0;
             for (Appliance appliance : fleet) {
                 places += appliance.state == Appliance.UP && appliance.build != trial ? 1 : 0;
@@ -727,7 +763,7 @@
         }
         if (voteDue(verdict)) {
             if (verdict != votedVerdict) {
-                line = String.format("%s: build %d, stage %d, %d events, %d of the build, theta %.2f +- %.2f",
+                line = String.format("%s: build %d, stage %d, %.0f events, %.0f of the build, theta %.2f +- %.2f",
                         VERDICTS[verdict], newest.number, stage, fit.events(), fit.ofNew(), fit.mode(),
                         fit.spread());
             }
