--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -5,7 +5,6 @@
 import honeygap.fleet.Method;
 import honeygap.fleet.Pick;
 import honeygap.fleet.Rpc;
-import honeygap.fleet.Tenant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -36,6 +35,9 @@
     /** A trial build may fail this many times as much before it counts as worse: it carries more than its share. */
     private static final double TOLERATED = 2;
     private static final long ON_WAIT = 3 * SECOND;
+    /** Times the usual past which an answer is an event of the second effect, and strata by picks held. */
+    private static final double FAR_PAST = 3;
+    private static final int CROWDS = 3;
 
     /** Part of the time left to the soft deadline after which a pick that may be repeated is given up. */
     private static final double PATIENCE = 0.6;
@@ -61,60 +63,56 @@
     private static final int SILENT_TO_LEAVE = 2;
     private static final double AWAY_USUALS = 8;
 
+    /** Picks of one RPC: how many, two at once or not, and whether clients heed being told to stay away. */
+    public record Tries(int most, boolean copies, boolean mayCancel, boolean stayAwayHeard, long stayAwayMost) { }
+
+    /** The appliance list: whether it must be asked, and the time without asking after which it counts as told. */
+    public record Listing(boolean asked, long askWithin) { }
+
+    /** A cold appliance: what it starts from, when it is warm, and what pushes it over. */
+    public record Cold(double from, long warmAfter, double fallMultiple, long tipAfter) { }
+
+    /** The desk: what votes do, the votes needed for 'on', how long one stands and how fast they are taken. */
+    public record Desk(int gate, int ayes, long voteStands, long callTimeout, double votesPerS) { }
+
+    /** Exposure: cap and share of the fleet by stage, and how picks are counted. */
+    public record Exposure(double[] caps, double[] waves, long window, double uncounted, boolean perMethod,
+                           int shielded, boolean keysStay) { }
+
     private final long seed;
     private long counter;
     private long now;
     private final int agents;
-    private final int zone;
     private final long tick;
     private final List<Method> methods;
-    private final List<Tenant> tenants;
-    private final double overShareUtility;
+    private final Tries tries;
+    private final Listing listing;
+    private final Cold cold;
+    private final Desk desk;
+    private final Exposure exposure;
 
     private final List<Appliance> fleet = new ArrayList<>();
+    private final List<Build> builds = new ArrayList<>();
     private final ArrayDeque<Rpc> todo = new ArrayDeque<>();
     private final ArrayDeque<Rpc> held = new ArrayDeque<>();
     private long wokenFor = Long.MAX_VALUE;
     private double further = FURTHER_MOST;
 
-    // Picks
-    private int maxPicks = 1;
-    private boolean copies;
-    private boolean mayCancel;
-    private boolean stayAwayHeard;
-    private long stayAwayMost;
-
-    // Health
-    private boolean mayProbe;
-    private boolean reportsByProbe;
-    private long connectTimeout;
-
-    public Rules(long now, long seed, int agents, int zone, long tick, List<Method> methods, List<Tenant> tenants,
-                 double overShareUtility) {
+    public Rules(long now, long seed, int agents, long tick, List<Method> methods, Tries tries, Listing listing,
+                 Cold cold, Desk desk, Exposure exposure) {
         this.now = now;
         this.seed = seed;
         this.agents = Math.max(1, agents);
-        this.zone = zone;
         this.tick = Math.max(1, tick);
         this.methods = methods;
-        this.tenants = tenants;
-        this.overShareUtility = overShareUtility;
-        errorsOld = new double[methods.size()];
-        endedOld = new double[methods.size()];
-    }
-
-    public void picks(int most, boolean copies, boolean mayCancel, boolean stayAwayHeard, long stayAwayMost) {
-        this.maxPicks = Math.max(1, most);
-        this.copies = copies;
-        this.mayCancel = mayCancel;
-        this.stayAwayHeard = stayAwayHeard;
-        this.stayAwayMost = stayAwayMost;
-    }
-
-    public void health(boolean mayProbe, boolean reportsByProbe, long connectTimeout) {
-        this.mayProbe = mayProbe;
-        this.reportsByProbe = reportsByProbe;
-        this.connectTimeout = connectTimeout;
+        this.tries = tries;
+        this.listing = listing;
+        this.cold = cold;
+        this.desk = desk;
+        this.exposure = exposure;
+        for (int i = 0; i < (exposure.perMethod ? methods.size() : 1); i++) {
+            takenAt.add(new ArrayDeque<>());
+        }
     }
 
     // ------------------------------------------------------------------ what happened
@@ -179,7 +177,7 @@
         appliance.lastAnswerAt = now;
         appliance.silent = 0;
         appliance.awayUntil = LONG_AGO;
-        if (keysStay && pick.rpc.key != null && onTrial(pick.build)) {
+        if (exposure.keysStay && pick.rpc.key != null && onTrial(pick.build)) {
             pick.build.keys.add(pick.rpc.key);
         }
         if (method.usual > 0) {
@@ -188,6 +186,8 @@
         if (!pick.cold && !onTrial(pick.build)) {
             method.answers++;
             method.usual += Math.max(FADE, 1.0 / method.answers) * (lag - method.usual);
+            int kind = Math.min(appliance.kind, Method.KINDS - 1);
+            method.usualOf[kind] += (method.usualOf[kind] == 0 ? 1 : FADE) * (lag - method.usualOf[kind]);
         }
         if (!pick.cold) {
             warmWork += cost(pick.rpc);
@@ -217,7 +217,7 @@
         appliance.lastFailAt = now;
         if (appliance.silent >= SILENT_TO_LEAVE) {
             double usuals = AWAY_USUALS * (1 << Math.min(3, appliance.silent - SILENT_TO_LEAVE));
-            appliance.awayUntil = now + (long) (usuals * Math.max(method.usual, connectTimeout));
+            appliance.awayUntil = now + (long) (usuals * Math.max(method.usual, method.softDeadline / 4));
         }
     }
 
@@ -253,7 +253,10 @@
         private boolean stale;
 
         Fit(int groups) {
-            risk = new double[groups + 64][4];
+            risk = new double[groups + 64][];
+            for (int i = 0; i < groups; i++) {
+                risk[i] = new double[4];
+            }
             size = groups;
         }
 
@@ -261,20 +264,30 @@
             if (size == risk.length) {
                 risk = Arrays.copyOf(risk, 2 * size);
             }
-            group(size++, isNew ? 0 : 1, isNew ? 1 : 0, oOld, oNew);
+            risk[size] = new double[] {0, 0, oOld, oNew};
+            fail(size++, isNew);
         }
 
-        /** Sets a group of events that share their risk set: failures and picks of either build. */
-        void group(int slot, double failedOld, double failedNew, double oOld, double oNew) {
-            double[] was = risk[slot] == null ? new double[4] : risk[slot];
-            events += failedOld + failedNew - was[0];
-            ofNew += failedNew - was[1];
-            risk[slot] = new double[] {failedOld + failedNew, failedNew, oOld, oNew};
+        /** Counts a pick of the group: picks of either build are its risk set, those that failed its events. */
+        void count(int group, boolean isNew, boolean failed) {
+            risk[group][isNew ? 3 : 2]++;
+            if (failed) {
+                fail(group, isNew);
+            }
+            stale = true;
+        }
+
+        private void fail(int at, boolean isNew) {
+            risk[at][0]++;
+            risk[at][1] += isNew ? 1 : 0;
+            events++;
+            ofNew += isNew ? 1 : 0;
             stale = true;
         }
 
-        double events() {
-            return events;
+        @Override
+        public String toString() {
+            return String.format("%.0f of %.0f, theta %.2f +- %.2f", ofNew, events, mode(), spread());
         }
 
         double ofNew() {
@@ -335,52 +348,71 @@
     /** The build on trial that the fit is of, the earlier build being all others; a new build starts a new fit. */
     private Build fitted;
     private Fit fit = new Fit(0);
-    // By method: errors and picks of the earlier builds, and of the fitted one while no earlier one was at risk.
-    private double[] errorsOld;
-    private double[] endedOld;
-    private double[] errorsLone;
-    private double[] endedLone;
+    /** Further effects, each by a fit of its own: answers far past the usual, and answers reported wrong. */
+    private Fit late = new Fit(0);
+    private Fit wrong = new Fit(0);
+    /** Picks that lately ended, fading, of the earlier builds and the fitted one, by stratum. */
+    private double[][] lately = new double[0][];
+
+    private int atRisk(Build build, int method, boolean warm) {
+        return (warm ? build.warmInFlight : build.inFlight)[method];
+    }
 
     /** Errors, time-outs, resets and failed connections are events; the failing pick is still in its risk set. */
     private void judge(Pick pick, int outcome) {
+        boolean failed = outcome == Pick.ERROR || outcome == Pick.RESET;
+        boolean slow = outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED;
+        if (fitted == null || !failed && !slow && outcome != Pick.OK) {
+            return;
+        }
+        // Strata by method: methods kept from the trial build, and ones that fail by nature, say nothing of it.
         int method = pick.rpc.method.index;
+        boolean isNew = pick.build == fitted;
         int old = 0;
         for (Build build : builds) {
-            old += build == fitted ? 0 : build.inFlight[method];
-        }
-        boolean failed = outcome == Pick.ERROR || outcome == Pick.RESET;
-        if (failed || outcome == Pick.OK) {
-            if (pick.build != fitted) {
-                endedOld[method]++;
-                errorsOld[method] += failed ? 1 : 0;
-            } else if (old == 0) {
-                // No earlier build is at risk: the last stage, or after the release. What it did before stands in
-                // as a grouped risk set, for errors and resets only, which hardly depend on load. Guards against
-                // builds that turn bad late or under load. Harm: errors that begin anywhere else just then.
-                endedLone[method]++;
-                errorsLone[method] += failed ? 1 : 0;
-                fit.group(method, errorsOld[method], errorsLone[method], endedOld[method], endedLone[method]);
-                return;
-            }
+            old += build == fitted ? 0 : atRisk(build, method, slow);
         }
-        if (outcome != Pick.ERROR && outcome != Pick.TIMEOUT && outcome != Pick.RESET
-                && outcome != Pick.CONNECT_FAILED || fitted == null) {
-            return;
+        if (!slow && (!isNew || old == 0)) {
+            // No earlier build is at risk: the last stage, or after the release. What it did before stands in as a
+            // grouped risk set, for errors and resets only, which hardly depend on load. Guards against builds
+            // that turn bad late or under load. Harm: errors that begin anywhere else just then.
+            fit.count(method, isNew, failed && isNew);
         }
-        boolean slow = outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED;
         // A silent appliance is one event however many picks it held, and one that is still cold may time out by
         // being cold: neither must convict its build. Harm: a build that only ever times out is judged later.
-        if (slow && (pick.appliance.silent > 0 || pick.cold)) {
+        if (failed && (old > 0 || !isNew) || slow && pick.appliance.silent == 0 && !pick.cold) {
+            fit.event(old, atRisk(fitted, method, slow), isNew);
+        }
+        lateness(pick, isNew, outcome != Pick.CONNECT_FAILED);
+    }
+
+    /**
+     * An answer far past what its method usually takes is an event of a second effect, its risk set the picks that
+     * ended lately: in-flight counts swell with slowness and hide it. Strata by method, kind and picks held, so
+     * that neither a slow kind nor a crowded appliance speaks against the build. Guards against builds that need
+     * more work. Harm: one appliance of the build that is slow for a reason of its own.
+     */
+    private void lateness(Pick pick, boolean isNew, boolean counts) {
+        Method method = pick.rpc.method;
+        double usual = method.usualOf[Math.min(pick.appliance.kind, Method.KINDS - 1)];
+        if (pick.cold || !counts || usual == 0) {
             return;
         }
-        // Strata by method: methods kept from the trial build, and ones that fail by nature, say nothing of it.
-        if (slow) {
-            old = 0;
-            for (Build build : builds) {
-                old += build == fitted ? 0 : build.warmInFlight[method];
-            }
+        double[] recent = recent((method.index * Method.KINDS + Math.min(pick.appliance.kind, Method.KINDS - 1))
+                * CROWDS + pick.crowd);
+        recent[isNew ? 1 : 0]++;
+        if (now - pick.sentAt > FAR_PAST * usual) {
+            late.event(recent[0], recent[1], isNew);
         }
-        fit.event(old, (slow ? fitted.warmInFlight : fitted.inFlight)[method], pick.build == fitted);
+    }
+
+    private double[] recent(int stratum) {
+        double[] recent = lately[stratum];
+        double fade = Math.exp((recent[2] - now) / ON_WAIT);
+        recent[0] *= fade;
+        recent[1] *= fade;
+        recent[2] = now;
+        return recent;
     }
 
     private double chance() {
@@ -402,13 +434,6 @@
 
     // ------------------------------------------------------------------ the desk: what is told of the build
 
-    private int gate;
-    private int ayes;
-    private long soak;
-    private long voteStands;
-    private long callTimeout;
-    private long voteSpacing;
-
     private Build newest;
     private int phase = Build.RELEASED;
     private int stage;
@@ -423,15 +448,6 @@
     private String line;
     private boolean voteStood;
 
-    public void desk(int gate, int ayes, long soak, long voteStands, long callTimeout, double votesPerS) {
-        this.gate = gate;
-        this.ayes = ayes;
-        this.soak = soak;
-        this.voteStands = voteStands;
-        this.callTimeout = callTimeout;
-        this.voteSpacing = (long) (2 * SECOND * agents / Math.max(votesPerS, 0.01));
-    }
-
     public void told(Build build, int phase, int stage, double cap, boolean answer, long since, int outcome) {
         if (answer) {
             voteOut = false;
@@ -452,7 +468,17 @@
         note(build);
     }
 
+    /** A wrong answer, reported late and now and then by mistake: an event of a third effect, like lateness. */
     public void contested(Appliance appliance, Method method, long age) {
+        if (fitted != null) {
+            double[] all = new double[2];
+            for (int i = 0; i < Method.KINDS * CROWDS; i++) {
+                double[] recent = recent(method.index * Method.KINDS * CROWDS + i);
+                all[0] += recent[0];
+                all[1] += recent[1];
+            }
+            wrong.event(all[0], all[1], appliance.build == fitted);
+        }
     }
 
     /** Keeps the list of builds in order of number, and the fit with the newest build on trial. */
@@ -465,8 +491,9 @@
         if (trial != null && trial != fitted) {
             fitted = trial;
             fit = new Fit(methods.size());
-            errorsLone = new double[methods.size()];
-            endedLone = new double[methods.size()];
+            late = new Fit(0);
+            wrong = new Fit(0);
+            lately = new double[methods.size() * Method.KINDS * CROWDS][3];
             places = 0;
             for (Appliance appliance : fleet) {
                 places += appliance.state == Appliance.UP && appliance.build != trial ? 1 : 0;
@@ -474,7 +501,6 @@
         }
     }
 
-    private final List<Build> builds = new ArrayList<>();
     private int places;
 
     /** Not yet announced, or announced and not released: what the exposure rule calls on trial. */
@@ -496,17 +522,21 @@
         if (newest == null || newest != fitted || phase == Build.WITHDRAWN || phase == Build.REVERTING) {
             return Build.VOTE_NONE;
         }
-        if (fit.ofNew() >= FAILURES_TO_JUDGE && fit.worse(TOLERATED) > BACK_CHANCE) {
+        double worse = Math.max(worse(fit), Math.max(worse(late), worse(wrong)));
+        if (worse > BACK_CHANCE) {
             return Build.VOTE_BACK;
         }
         if (phase == Build.RELEASED) {
             return Build.VOTE_NONE;
         }
-        if (gate == AUTOMATIC) {
-            return fit.ofNew() >= FAILURES_TO_JUDGE && fit.worse(TOLERATED) > HOLD_CHANCE ? Build.VOTE_HOLD : Build.VOTE_NONE;
+        if (desk.gate == AUTOMATIC) {
+            return worse > HOLD_CHANCE ? Build.VOTE_HOLD : Build.VOTE_NONE;
         }
-        boolean good = fit.ofNew() < FAILURES_TO_JUDGE || fit.worse(TOLERATED) <= HOLD_CHANCE;
-        return good && now >= onAfter() ? Build.VOTE_ON : Build.VOTE_NONE;
+        return worse <= HOLD_CHANCE && now >= onAfter() ? Build.VOTE_ON : Build.VOTE_NONE;
+    }
+
+    private static double worse(Fit fit) {
+        return fit.ofNew() < FAILURES_TO_JUDGE ? 0 : fit.worse(TOLERATED);
     }
 
     /** When 'on' may be said: a wait after the last listed start of the stage's appliances. */
@@ -519,14 +549,14 @@
                 last = Math.max(last, appliance.startedAt);
             }
         }
-        int wanted = stage < waves.length ? Math.max(1, (int) (waves[stage] * places)) : 1;
+        int wanted = stage < exposure.waves.length ? Math.max(1, (int) (exposure.waves[stage] * places)) : 1;
         // A list that lags, or appliances that cannot start, must not hold a good build up for ever. Harm: 'on' is
         // said with less of the stage seen.
         return listed >= wanted ? last + ON_WAIT : Math.max(last, stageSince + 2 * ON_WAIT) + ON_WAIT;
     }
 
     private boolean voteDue(int verdict) {
-        if (now < votedAt + voteSpacing || voteOut && now < votedAt + callTimeout + 2 * tick) {
+        if (now < votedAt + 2 * SECOND * agents / desk.votesPerS || voteOut && now < votedAt + desk.callTimeout + 2 * tick) {
             return false;
         }
         boolean same = votedBuild == newest && votedVerdict == verdict
@@ -534,43 +564,22 @@
         if (verdict == Build.VOTE_NONE) {
             // A vote that no longer matches its build's standing is taken away while it could still count.
             return newest != null && votedBuild == newest && votedVerdict != Build.VOTE_NONE
-                    && now < votedAt + voteStands && phase == Build.ON_TRIAL && votedStage == stage;
+                    && now < votedAt + desk.voteStands && phase == Build.ON_TRIAL && votedStage == stage;
         }
-        return !same || !voteStood || now >= votedAt + voteStands * 3 / 4;
+        return !same || !voteStood || now >= votedAt + desk.voteStands * 3 / 4;
     }
 
     // ------------------------------------------------------------------ exposure
 
-    private double[] caps = new double[0];
-    private double[] waves = new double[0];
-    private long window;
-    private double uncounted;
-    private boolean perMethod;
-    private int shielded;
-    private boolean keysStay;
     private final List<ArrayDeque<Long>> takenAt = new ArrayList<>();
 
-    public void exposure(double[] caps, double[] waves, long window, double uncounted, boolean perMethod,
-                         int shielded, boolean keysStay) {
-        this.caps = caps;
-        this.waves = waves;
-        this.window = window;
-        this.uncounted = uncounted;
-        this.perMethod = perMethod;
-        this.shielded = shielded;
-        this.keysStay = keysStay;
-        for (int i = 0; i < (perMethod ? methods.size() : 1); i++) {
-            takenAt.add(new ArrayDeque<>());
-        }
-    }
-
     private int exposureGroup(Method method) {
-        return perMethod ? method.index : 0;
+        return exposure.perMethod ? method.index : 0;
     }
 
     private double capOf(Build build) {
         if (build.number > newest.number) {
-            return caps.length > 0 ? caps[0] : 0;
+            return exposure.caps.length > 0 ? exposure.caps[0] : 0;
         }
         return phase == Build.ON_TRIAL || phase == Build.REVERTING ? cap : 0;
     }
@@ -581,7 +590,7 @@
             return true;
         }
         int at = build.number > newest.number ? 0 : stage;
-        if (at < shielded && method.effect != Method.IDEMPOTENT) {
+        if (at < exposure.shielded && method.effect != Method.IDEMPOTENT) {
             return false;
         }
         double share = capOf(build);
@@ -591,48 +600,37 @@
         int group = exposureGroup(method);
         // Picks are counted over a little more than the window, RPCs over a little less.
         ArrayDeque<Long> taken = takenAt.get(group);
-        while (!taken.isEmpty() && taken.peekFirst() <= now - window + 2 * tick) {
+        while (!taken.isEmpty() && taken.peekFirst() <= now - exposure.window + 2 * tick) {
             taken.removeFirst();
         }
-        while (!build.exposed.isEmpty() && build.exposed.peekFirst()[0] < now - window - 2 * tick) {
+        while (!build.exposed.isEmpty() && build.exposed.peekFirst()[0] < now - exposure.window - 2 * tick) {
             build.exposed.removeFirst();
         }
         int sent = 0;
         for (long[] pick : build.exposed) {
             sent += pick[1] == group ? 1 : 0;
         }
-        return sent + 1 <= uncounted + share * taken.size();
+        return sent + 1 <= exposure.uncounted + share * taken.size();
     }
 
     /** A key that the new build has answered goes to no earlier one, until the build goes back. */
     private boolean keyAllows(Rpc rpc, Build build) {
-        return !(keysStay && rpc.key != null && newest != null && build.number < newest.number
+        return !(exposure.keysStay && rpc.key != null && newest != null && build.number < newest.number
                 && (phase == Build.ON_TRIAL || phase == Build.RELEASED) && newest.keys.contains(rpc.key));
     }
 
     // ------------------------------------------------------------------ cold appliances
 
-    private double coldFrom = 1;
-    private long warmAfter;
-    private double fallMultiple = 1;
-    private long tipAfter = SECOND;
     /** Work answered by warm appliances, for what one of them takes through this agent; refreshed each second. */
     private double warmWork;
     private double takenWork;
     private double warmRate;
     private long rateSince = LONG_AGO;
 
-    public void cold(double coldFrom, long warmAfter, double fallMultiple, long tipAfter) {
-        this.coldFrom = coldFrom;
-        this.warmAfter = warmAfter;
-        this.fallMultiple = fallMultiple;
-        this.tipAfter = Math.max(1, tipAfter);
-    }
-
     /** Part of its full capacity that the appliance surely has. */
     private double warmth(Appliance appliance) {
         long age = now - appliance.startedAt;
-        return age >= warmAfter ? 1 : coldFrom + (1 - coldFrom) * Math.max(0, age) / warmAfter;
+        return age >= cold.warmAfter ? 1 : cold.from + (1 - cold.from) * Math.max(0, age) / cold.warmAfter;
     }
 
     private double cost(Rpc rpc) {
@@ -665,31 +663,24 @@
         if (warmth >= 1) {
             return true;
         }
-        while (!appliance.coldWork.isEmpty() && appliance.coldWork.peekFirst()[0] < now - tipAfter) {
+        while (!appliance.coldWork.isEmpty() && appliance.coldWork.peekFirst()[0] < now - cold.tipAfter) {
             appliance.coldWork.removeFirst();
         }
         double sent = 0;
         for (long[] work : appliance.coldWork) {
             sent += work[1];
         }
-        return sent == 0 || sent + cost(rpc) <= COLD_SAFETY * fallMultiple * warmth * warmRate * tipAfter;
+        return sent == 0 || sent + cost(rpc) <= COLD_SAFETY * cold.fallMultiple * warmth * warmRate * cold.tipAfter;
     }
 
     // ------------------------------------------------------------------ the list
 
-    private boolean asks;
-    private long askWithin;
     private long askedAt = LONG_AGO;
     private boolean listAnswered;
     private boolean fullList;
     private boolean diskList;
     private final List<Appliance> named = new ArrayList<>();
 
-    public void list(boolean asks, long askWithin) {
-        this.asks = asks;
-        this.askWithin = askWithin;
-    }
-
     public void listBegins(boolean full, boolean disk) {
         fullList = full;
         diskList = disk;
@@ -709,7 +700,7 @@
             appliance.awayUntil = LONG_AGO;
             appliance.util = Double.NaN;
             appliance.queue = Double.NaN;
-            appliance.limit = LIMIT_START * (now < startedAt + warmAfter ? coldFrom / 2 : 1);
+            appliance.limit = LIMIT_START * (now < startedAt + cold.warmAfter ? cold.from / 2 : 1);
         }
         appliance.build = build;
         appliance.zone = zone;
@@ -737,11 +728,11 @@
 
     public void listFailed() {
         listAnswered = false;
-        askedAt = Math.max(askedAt, now - askWithin / 4 + askWithin / 40);
+        askedAt = Math.max(askedAt, now - listing.askWithin / 4 + listing.askWithin / 40);
     }
 
     private boolean askDue() {
-        return asks && !listAnswered && (askedAt == LONG_AGO || now >= askedAt + askWithin / 4);
+        return listing.asked && !listAnswered && (askedAt == LONG_AGO || now >= askedAt + listing.askWithin / 4);
     }
 
     // ------------------------------------------------------------------ decisions
@@ -763,9 +754,8 @@
         }
         if (voteDue(verdict)) {
             if (verdict != votedVerdict) {
-                line = String.format("%s: build %d, stage %d, %.0f events, %.0f of the build, theta %.2f +- %.2f",
-                        VERDICTS[verdict], newest.number, stage, fit.events(), fit.ofNew(), fit.mode(),
-                        fit.spread());
+                line = String.format("%s: build %d, stage %d; failures %s; late %s; wrong %s",
+                        VERDICTS[verdict], newest.number, stage, fit, late, wrong);
             }
             votedBuild = newest;
             votedStage = stage;
@@ -793,8 +783,8 @@
 
     private long wakeAt() {
         long at = Long.MAX_VALUE;
-        if (asks && !listAnswered) {
-            at = Math.min(at, askedAt + askWithin / 4);
+        if (listing.asked && !listAnswered) {
+            at = Math.min(at, askedAt + listing.askWithin / 4);
         }
         if (newest != null && (phase == Build.ON_TRIAL || phase == Build.RELEASED)) {
             at = Math.min(at, now + SECOND / 10);
@@ -811,7 +801,7 @@
         if (now >= rpc.deadline - 2 * tick) {
             return finish(rpc, mayRun, ctl);
         }
-        if (rpc.picks.size() >= maxPicks || mayRun && rpc.method.effect == Method.NON_IDEMPOTENT) {
+        if (rpc.picks.size() >= tries.most || mayRun && rpc.method.effect == Method.NON_IDEMPOTENT) {
             return finish(rpc, mayRun, ctl);
         }
         if (mayRun && further < 1) {
@@ -838,7 +828,7 @@
         boolean harmless = !mayRun || rpc.method.effect == Method.IDEMPOTENT
                 || rpc.method.effect == Method.TOKENED && rpc.method.scope == Method.SCOPE_ALL;
         if (harmless && now < rpc.deadline) {
-            ctl.pushBack(rpc, stayAwayHeard ? Math.min(stayAwayMost, rpc.method.softDeadline) : 0);
+            ctl.pushBack(rpc, tries.stayAwayHeard ? Math.min(tries.stayAwayMost, rpc.method.softDeadline) : 0);
         } else {
             ctl.abort(rpc);
         }
@@ -846,14 +836,14 @@
     }
 
     private void send(Rpc rpc, Appliance appliance, Ctl ctl) {
-        boolean cold = warmth(appliance) < 1;
-        Pick pick = new Pick(rpc, appliance, now, cold);
+        boolean isCold = warmth(appliance) < 1;
+        Pick pick = new Pick(rpc, appliance, now, isCold, Math.min(CROWDS - 1, appliance.out.size() / 2));
         rpc.picks.add(pick);
         rpc.out++;
         appliance.out.addLast(pick);
         appliance.build.inFlight[rpc.method.index]++;
-        appliance.build.warmInFlight[rpc.method.index] += cold ? 0 : 1;
-        if (cold) {
+        appliance.build.warmInFlight[rpc.method.index] += isCold ? 0 : 1;
+        if (isCold) {
             appliance.coldWork.addLast(new long[] {now, (long) Math.ceil(cost(rpc))});
         }
         if (onTrial(appliance.build)) {
@@ -872,7 +862,7 @@
         long left = Math.max(1, rpc.deadline - now);
         Method method = rpc.method;
         long soft = rpc.takenAt + method.softDeadline - now;
-        if (method.effect == Method.NON_IDEMPOTENT || rpc.picks.size() >= maxPicks || further < 1) {
+        if (method.effect == Method.NON_IDEMPOTENT || rpc.picks.size() >= tries.most || further < 1) {
             return left;
         }
         long patience = (long) (PATIENCE * Math.min(soft, left));
@@ -954,7 +944,7 @@
     private boolean wantsNew(Rpc rpc, int readyOld, int readyNew) {
         if (!rpc.drawn) {
             rpc.drawn = true;
-            rpc.drawnNew = fit.events() == 0 ? chance() < 0.5 : drawTheta() > 0;
+            rpc.drawnNew = fit.events == 0 ? chance() < 0.5 : drawTheta() > 0;
         }
         double share = (double) readyOld / (readyOld + readyNew);
         return rpc.drawnNew || sentOld > share * (sentOld + sentNew);
--- a/src/main/java/honeygap/fleet/Method.java
+++ b/src/main/java/honeygap/fleet/Method.java
@@ -7,6 +7,8 @@
     public static final int TOKENED = 1;
     public static final int NON_IDEMPOTENT = 2;
 
+    public static final int KINDS = 8;
+
     public static final int SCOPE_ALL = 0;
     public static final int SCOPE_ZONE = 1;
     public static final int SCOPE_CELL = 2;
@@ -23,6 +25,8 @@
 
     /** Mean time of an ok answer, in tenths of a millisecond; 0 before the first. */
     public double usual;
+    /** The same by kind of appliance; kinds beyond the last share it. */
+    public final double[] usualOf = new double[KINDS];
     public long answers;
 
     public Method(int index, int effect, int scope, long tokenWindow, long softDeadline, long deadline,
--- a/src/main/java/honeygap/fleet/Pick.java
+++ b/src/main/java/honeygap/fleet/Pick.java
@@ -19,15 +19,16 @@
     public final Build build;
     public final long sentAt;
     public final boolean cold;
+    /** How crowded the appliance was with this agent's picks: a stratum. */
+    public final int crowd;
     public int outcome = OUT;
-    /** Already taken as an event for being late. */
-    public boolean late;
 
-    public Pick(Rpc rpc, Appliance appliance, long sentAt, boolean cold) {
+    public Pick(Rpc rpc, Appliance appliance, long sentAt, boolean cold, int crowd) {
         this.rpc = rpc;
         this.appliance = appliance;
         this.build = appliance.build;
         this.sentAt = sentAt;
         this.cold = cold;
+        this.crowd = crowd;
     }
 }
--- a/src/main/java/honeygap/wire/Agent.java
+++ b/src/main/java/honeygap/wire/Agent.java
@@ -7,7 +7,6 @@
 import honeygap.fleet.Build;
 import honeygap.fleet.Method;
 import honeygap.fleet.Rpc;
-import honeygap.fleet.Tenant;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
@@ -21,7 +20,6 @@
     private final long who;
     private final Rules rules;
     private final List<Method> methods = new ArrayList<>();
-    private final List<Tenant> tenants = new ArrayList<>();
     private final Map<String, Rpc> rpcs = new HashMap<>();
     private final Map<Long, Appliance> appliances = new HashMap<>();
     private final Map<Integer, Build> builds = new HashMap<>();
@@ -35,32 +33,24 @@
                     scope(method.text("KeyScope", "all")), method.tenths("WindowNs", 0), method.tenths("AimNs"),
                     method.tenths("GiveUpNs"), method.number("Worth", 1), method.number("LateWorth", 0)));
         }
-        if (info.has("Accounts")) {
-            for (Fields tenant : info.objects("Accounts")) {
-                tenants.add(new Tenant(tenant.number("Share", 0), tenant.number("QuotaPerS", 0)));
-            }
-        }
         Fields ceilings = info.part("Ceilings");
         Fields family = info.part("FamilyInfo");
         Fields guards = info.part("Rules");
-        rules = new Rules(now, seed, info.index("FleetSize", 1), info.index("Zone", 0), info.tenths("TickNs"),
-                methods, tenants, info.number("OverShareWorth", 1));
-        rules.picks(ceilings.index("MaxAttempts", 1), ceilings.flag("SecondCopies", false),
-                ceilings.flag("Cancel", false), ceilings.flag("RetryAfter", false),
-                ceilings.tenths("MaxRetryAfterNs", 0));
-        rules.health(ceilings.flag("Probing", false), info.part("Feedback").text("How", "off").equals("on_probe"),
-                ceilings.tenths("ConnectTimeoutNs", 0));
-        rules.list(info.text("RegistryMode", "push").equals("ask"), guards.tenths("MustAskInNs", 0));
-        rules.cold(guards.number("ColdFrom", 1), guards.tenths("WarmAfterNs", 0),
-                guards.number("FallMultiple", 1), guards.tenths("TipAfterNs", 0));
-        rules.desk(gate(family.text("GateMode", "first_voice")), family.index("AyesNeeded", 1),
-                family.tenths("SoakNs", 0), family.tenths("VoteStandsNs", 0), family.tenths("CallTimeoutNs", 0),
-                family.number("VotesPerS", 1));
-        rules.exposure(family.has("Caps") ? family.numbers("Caps") : new double[0],
-                family.has("Waves") ? family.numbers("Waves") : new double[0],
-                family.tenths("WindowNs", 0), family.number("Uncounted", 0),
-                family.text("CapScope", "all").equals("each_class"), family.index("Shielded", 0),
-                family.flag("KeysStay", false));
+        rules = new Rules(now, seed, info.index("FleetSize", 1), info.tenths("TickNs"), methods,
+                new Rules.Tries(ceilings.index("MaxAttempts", 1), ceilings.flag("SecondCopies", false),
+                        ceilings.flag("Cancel", false), ceilings.flag("RetryAfter", false),
+                        ceilings.tenths("MaxRetryAfterNs", 0)),
+                new Rules.Listing(info.text("RegistryMode", "push").equals("ask"), guards.tenths("MustAskInNs", 0)),
+                new Rules.Cold(guards.number("ColdFrom", 1), guards.tenths("WarmAfterNs", 0),
+                        guards.number("FallMultiple", 1), guards.tenths("TipAfterNs", 0)),
+                new Rules.Desk(gate(family.text("GateMode", "first_voice")), family.index("AyesNeeded", 1),
+                        family.tenths("VoteStandsNs", 0), family.tenths("CallTimeoutNs", 0),
+                        family.number("VotesPerS", 1)),
+                new Rules.Exposure(family.has("Caps") ? family.numbers("Caps") : new double[0],
+                        family.has("Waves") ? family.numbers("Waves") : new double[0],
+                        family.tenths("WindowNs", 0), family.number("Uncounted", 0),
+                        family.text("CapScope", "all").equals("each_class"), family.index("Shielded", 0),
+                        family.flag("KeysStay", false)));
     }
 
     private static int effect(String word) throws Malformed {
