--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -31,6 +31,8 @@
     // The design's starting values.
     private static final double BACK_CHANCE = 0.95;
     private static final double HOLD_CHANCE = 0.8;
+    /** The other effects are surer before they send a build back: appliances are slow for many reasons. */
+    private static final double OTHER_BACK_CHANCE = 0.995;
     private static final int FAILURES_TO_JUDGE = 3;
     /** A trial build may fail this many times as much before it counts as worse: it carries more than its share. */
     private static final double TOLERATED = 2;
@@ -133,6 +135,7 @@
         further = Math.min(FURTHER_MOST, further + FURTHER_SHARE);
         takenAt.get(exposureGroup(rpc.method)).addLast(now);
         takenWork += cost(rpc);
+        rpc.method.work += FADE * (rpc.work - rpc.method.work);
         todo.addLast(rpc);
     }
 
@@ -154,7 +157,7 @@
         pick.build.warmInFlight[rpc.method.index] -= pick.cold ? 0 : 1;
         report(appliance, util, queue);
         long lag = now - pick.sentAt;
-        pace(appliance, rpc.method, outcome, lag);
+        pace(appliance, rpc, outcome, lag);
         if (outcome == Pick.OK) {
             answered(pick, lag);
         } else if (outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED) {
@@ -181,7 +184,7 @@
             pick.build.keys.add(pick.rpc.key);
         }
         if (method.usual > 0) {
-            appliance.pace += 2 * FADE * (lag / method.usual - appliance.pace);
+            appliance.pace += 2 * FADE * (lag / expected(pick.rpc) - appliance.pace);
         }
         if (!pick.cold && !onTrial(pick.build)) {
             method.answers++;
@@ -199,14 +202,14 @@
      * fewer when they come late or not at all. Guards against a jam, whatever made it: overload, a burst, a slow
      * appliance, everything slower at once. Could harm where a method is slow by nature; its floor is one pick.
      */
-    private void pace(Appliance appliance, Method method, int outcome, long lag) {
+    private void pace(Appliance appliance, Rpc rpc, int outcome, long lag) {
         boolean late = outcome == Pick.FULL || outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED
-                || lag > LATE * method.softDeadline;
+                || lag > Math.max(LATE * rpc.method.softDeadline, FAR_PAST * expected(rpc));
         if (!late) {
             if (outcome == Pick.OK && appliance.out.size() >= appliance.limit / 2) {
                 appliance.limit += 1 / appliance.limit;
             }
-        } else if (now >= appliance.cutAt + method.usual) {
+        } else if (now >= appliance.cutAt + rpc.method.usual) {
             appliance.limit = Math.max(1, appliance.limit * CUT);
             appliance.cutAt = now;
         }
@@ -398,6 +401,7 @@
         if (pick.cold || !counts || usual == 0) {
             return;
         }
+        usual *= expected(pick.rpc) / method.usual;
         double[] recent = recent((method.index * Method.KINDS + Math.min(pick.appliance.kind, Method.KINDS - 1))
                 * CROWDS + pick.crowd);
         recent[isNew ? 1 : 0]++;
@@ -522,8 +526,9 @@
         if (newest == null || newest != fitted || phase == Build.WITHDRAWN || phase == Build.REVERTING) {
             return Build.VOTE_NONE;
         }
-        double worse = Math.max(worse(fit), Math.max(worse(late), worse(wrong)));
-        if (worse > BACK_CHANCE) {
+        double other = Math.max(worse(late), worse(wrong));
+        double worse = Math.max(worse(fit), other);
+        if (worse(fit) > BACK_CHANCE || other > OTHER_BACK_CHANCE) {
             return Build.VOTE_BACK;
         }
         if (phase == Build.RELEASED) {
@@ -633,6 +638,12 @@
         return age >= cold.warmAfter ? 1 : cold.from + (1 - cold.from) * Math.max(0, age) / cold.warmAfter;
     }
 
+    /** What the RPC should take: the method's usual time, more where its hint says that it is heavy. */
+    private double expected(Rpc rpc) {
+        Method method = rpc.method;
+        return method.usual * (rpc.work > method.work ? rpc.work / method.work : 1);
+    }
+
     private double cost(Rpc rpc) {
         return rpc.work > 0 ? rpc.work : Math.max(rpc.method.usual, 1);
     }
@@ -865,8 +876,10 @@
         if (method.effect == Method.NON_IDEMPOTENT || rpc.picks.size() >= tries.most || further < 1) {
             return left;
         }
-        long patience = (long) (PATIENCE * Math.min(soft, left));
-        if (patience < 2 * method.usual || soft - patience < ROOM_FOR_MORE * method.usual) {
+        // A heavy RPC is not given up for being heavy.
+        double expected = expected(rpc);
+        long patience = (long) Math.max(PATIENCE * Math.min(soft, left), FAR_PAST * expected);
+        if (soft - patience < ROOM_FOR_MORE * expected) {
             return left;
         }
         return Math.max(1, Math.min(left, patience));
--- a/src/main/java/honeygap/fleet/Method.java
+++ b/src/main/java/honeygap/fleet/Method.java
@@ -28,6 +28,8 @@
     /** The same by kind of appliance; kinds beyond the last share it. */
     public final double[] usualOf = new double[KINDS];
     public long answers;
+    /** Mean hint of the work of its RPCs; 0 where there are no hints. */
+    public double work;
 
     public Method(int index, int effect, int scope, long tokenWindow, long softDeadline, long deadline,
                   double utility, double lateUtility) {
