--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -204,7 +204,7 @@
      */
     private void pace(Appliance appliance, Rpc rpc, int outcome, long lag) {
         boolean late = outcome == Pick.FULL || outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED
-                || lag > Math.max(LATE * rpc.method.softDeadline, FAR_PAST * expected(rpc));
+                || lag > LATE * rpc.method.softDeadline * heaviness(rpc);
         if (!late) {
             if (outcome == Pick.OK && appliance.out.size() >= appliance.limit / 2) {
                 appliance.limit += 1 / appliance.limit;
@@ -401,7 +401,7 @@
         if (pick.cold || !counts || usual == 0) {
             return;
         }
-        usual *= expected(pick.rpc) / method.usual;
+        usual *= heaviness(pick.rpc);
         double[] recent = recent((method.index * Method.KINDS + Math.min(pick.appliance.kind, Method.KINDS - 1))
                 * CROWDS + pick.crowd);
         recent[isNew ? 1 : 0]++;
@@ -639,9 +639,12 @@
     }
 
     /** What the RPC should take: the method's usual time, more where its hint says that it is heavy. */
-    private double expected(Rpc rpc) {
-        Method method = rpc.method;
-        return method.usual * (rpc.work > method.work ? rpc.work / method.work : 1);
+    private static double expected(Rpc rpc) {
+        return rpc.method.usual * heaviness(rpc);
+    }
+
+    private static double heaviness(Rpc rpc) {
+        return rpc.work > rpc.method.work ? rpc.work / rpc.method.work : 1;
     }
 
     private double cost(Rpc rpc) {
