Tests of the module, wire host and command line; ask a failed list again at once

The tests found two faults: a failed list was asked again only after a quarter of the must-ask interval, and picks before the first answer of a method were given up at 0.6 of the soft deadline.

--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -742,7 +742,7 @@
 
     public void listFailed() {
         listAnswered = false;
-        askedAt = Math.max(askedAt, now - listing.askWithin / 4 + listing.askWithin / 40);
+        askedAt = now - listing.askWithin / 4 + listing.askWithin / 20;
     }
 
     private boolean askDue() {
@@ -876,7 +876,8 @@
         long left = Math.max(1, rpc.deadline - now);
         Method method = rpc.method;
         long soft = rpc.takenAt + method.softDeadline - now;
-        if (method.effect == Method.NON_IDEMPOTENT || rpc.picks.size() >= tries.most || further < 1) {
+        if (method.effect == Method.NON_IDEMPOTENT || rpc.picks.size() >= tries.most || further < 1
+                || method.usual == 0) {
             return left;
         }
         // A heavy RPC is not given up for being heavy.
--- /dev/null
+++ b/src/test/java/honeygap/RulesTest.java
@@ -0,0 +1,236 @@
+package honeygap;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import honeygap.fleet.Appliance;
+import honeygap.fleet.Build;
+import honeygap.fleet.Pick;
+import honeygap.fleet.Rpc;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class RulesTest {
+
+    private static final long SECOND = Agency.SECOND;
+
+    /** No effect happens twice: what follows the outcome of a first pick, by effect, scope and where others are. */
+    @ParameterizedTest
+    @CsvSource({
+        "0,0,1,0,0,pick", "0,0,3,1,1,pick", "0,0,2,0,0,pick",
+        "1,0,1,1,1,pick", "1,1,1,0,9,pick", "1,1,1,1,9,abort", "1,2,3,0,0,pick", "1,2,3,0,1,abort", "1,1,2,1,9,pick",
+        "2,0,1,0,0,abort", "2,0,3,0,0,abort", "2,0,5,0,0,abort", "2,0,6,0,0,abort",
+        "2,0,2,0,0,pick", "2,0,4,0,0,pick", "2,0,7,0,0,pick"})
+    void furtherPicks(int effect, int scope, int outcome, int zone, int cell, String then) {
+        Agency agency = Agency.plain(Rules.FIRST_VOICE, scope);
+        agency.warm(1, agency.old);
+        Rpc rpc = agency.take(effect, null);
+        assertEquals("pick1", agency.pull());
+        agency.list(1, agency.old, 0, 0, Appliance.DRAINING, Rules.LONG_AGO);
+        agency.list(2, agency.old, zone, cell, Appliance.UP, Rules.LONG_AGO);
+        agency.after(100);
+        agency.end(rpc, outcome);
+        assertEquals(then.equals("pick") ? "pick2" : then, agency.pull());
+    }
+
+    /** After the time for which repeats are dropped, or its picks are used up, an RPC gets its one final answer. */
+    @ParameterizedTest
+    @CsvSource({"0,2.5,pick", "1,1.5,pick", "1,2.5,pushback", "2,2.5,abort"})
+    void tokenWindow(int effect, double seconds, String then) {
+        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        agency.warm(1, agency.old);
+        Rpc rpc = agency.take(effect, null);
+        agency.pull();
+        agency.after((long) (seconds * SECOND));
+        agency.end(rpc, Pick.ERROR);
+        assertTrue(agency.pull().startsWith(then));
+        assertEquals(then.equals("pick") ? 0 : 1, rpc.closed ? 1 : 0);
+    }
+
+    /** Without a place an RPC is held for a part of its soft deadline, then pushed back; never silently lost. */
+    @ParameterizedTest
+    @CsvSource({"0.1,''", "0.3,pushback", "2.999,pushback", "3.5,abort"})
+    void heldWithoutPlace(double seconds, String then) {
+        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        agency.take(0, null);
+        assertEquals("", agency.pull());
+        agency.after((long) (seconds * SECOND));
+        assertEquals(then, agency.pull());
+        assertEquals("", agency.after(SECOND).pull().replace("pushback", then.isEmpty() ? "" : "again"));
+    }
+
+    /** Picks at the build on trial stay under free plus cap times taken; none at cap 0 or for effects when shielded. */
+    @ParameterizedTest
+    @CsvSource({"0,2,0,0.2,0", "0,2,0,0.2,1", "0,2,0,0.2,2", "0,2,0,0,0", "0,2,1,1,1", "1,2,0,0.5,0", "3,2,0,0.2,0",
+        "0,1,0,1,0"})
+    void exposure(int phase, int announced, int stage, double cap, int method) {
+        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        agency.rules.told(announced == 2 ? agency.fresh : agency.old, announced == 2 ? phase : Build.RELEASED, stage,
+                cap, false, agency.now, 0);
+        agency.warm(1, agency.old);
+        agency.warm(2, agency.fresh);
+        int fresh = 0;
+        for (int i = 0; i < 40; i++) {
+            agency.after(100);
+            Rpc rpc = agency.take(method, null);
+            fresh += agency.pull().contains("pick2") ? 1 : 0;
+            agency.after(10);
+            agency.end(rpc, Pick.OK);
+        }
+        double bound = announced == 1 ? 0.2 : phase == Build.WITHDRAWN ? 0 : cap;
+        boolean shielded = method != 0 && stage == 0;
+        assertTrue(fresh <= (bound == 0 || shielded ? 0 : 1 + bound * 2 * 40), fresh + " picks");
+        assertEquals(bound > 0 && !shielded, fresh > 0);
+    }
+
+    /** A key that the build on trial has answered goes to no earlier one while it is on trial or released. */
+    @ParameterizedTest
+    @CsvSource({"0,pick2", "2,pick2", "1,pick1", "3,pick1"})
+    void oneWayKeys(int phase, String then) {
+        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        agency.warm(2, agency.fresh);
+        agency.rules.told(agency.fresh, Build.ON_TRIAL, 1, 1, false, agency.now, 0);
+        Rpc first = agency.take(0, "k");
+        assertEquals("pick2", agency.pull());
+        agency.after(100);
+        agency.end(first, Pick.OK);
+        agency.warm(1, agency.old);
+        agency.rules.told(agency.fresh, phase, 1, phase == 0 ? 1 : 0, false, agency.now, 0);
+        for (int i = 0; i < 5; i++) {
+            agency.after(5 * SECOND);
+            Rpc rpc = agency.take(0, "k");
+            assertTrue(agency.pull().contains(then));
+            agency.end(rpc, Pick.OK);
+        }
+    }
+
+    /** Nothing new to an appliance that drains or is gone; a fresh start under its id counts as cold. */
+    @ParameterizedTest
+    @CsvSource({"0,true", "1,false", "2,false"})
+    void drains(int state, boolean picked) {
+        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        agency.warm(1, agency.old);
+        agency.list(1, agency.old, 0, 0, state, Rules.LONG_AGO);
+        agency.take(0, null);
+        assertEquals(picked, agency.pull().contains("pick1"));
+    }
+
+    /** A cold appliance gets a part of what a warm one takes, though a burst finds no other place. */
+    @ParameterizedTest
+    @CsvSource({"0,true", "1,true", "3,true", "5,false"})
+    void coldStart(int age, boolean bounded) {
+        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        agency.warm(1, agency.old);
+        agency.serve(100, 0, 0);
+        agency.list(1, agency.old, 0, 0, Appliance.UP, agency.now - age * SECOND);
+        int picks = 0;
+        for (int i = 0; i < 60; i++) {
+            agency.after(100);
+            Rpc rpc = agency.take(0, null);
+            picks += agency.pull().contains("pick1") ? 1 : 0;
+            agency.after(30);
+            if (rpc.out > 0) {
+                agency.end(rpc, Pick.OK);
+            }
+        }
+        assertEquals(bounded, picks < 30, picks + " picks");
+    }
+
+    /** Votes by gate, stage of the evidence and phase: 1 on, 2 hold, 3 back. */
+    @ParameterizedTest
+    @CsvSource({"0,0,0,vote1", "1,0,0,vote1", "2,0,0,''", "0,1,0,vote3", "1,1,0,vote3", "2,1,0,vote3",
+        "0,1,2,vote3", "0,0,2,''", "0,1,3,''"})
+    void votes(int gate, int outcomeOnFresh, int phase, String then) {
+        Agency agency = Agency.plain(gate, 0);
+        for (int id = 1; id < 6; id++) {
+            agency.warm(id, agency.old);
+        }
+        agency.warm(6, agency.fresh);
+        agency.rules.told(agency.fresh, Build.ON_TRIAL, 1, 1, false, agency.now, 0);
+        agency.serve(30, 0, outcomeOnFresh);
+        agency.rules.told(agency.fresh, phase, 1, 1, true, agency.now, 7);
+        agency.rules.told(agency.fresh, phase, 1, 1, false, agency.now, 0);
+        agency.after(20 * SECOND);
+        assertEquals(then, agency.pull());
+    }
+
+    /** 'On' waits three seconds from the last listed start, and longer for appliances that the list lacks. */
+    @ParameterizedTest
+    @CsvSource({"2,1,''", "3,1,vote1", "8,0,''", "9,0,vote1"})
+    void onIsPatient(int seconds, int listed, String then) {
+        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        agency.warm(1, agency.old);
+        agency.rules.told(agency.fresh, Build.ON_TRIAL, 0, 0.2, false, agency.now, 0);
+        if (listed == 1) {
+            agency.list(2, agency.fresh, 0, 0, Appliance.UP, agency.now);
+        }
+        agency.after(seconds * SECOND);
+        assertEquals(then, agency.pull());
+    }
+
+    /** A vote is renewed before it lapses, sent again when its call failed, and not while the call is out. */
+    @ParameterizedTest
+    @CsvSource({"0,1,''", "0,5,vote1", "1,1,vote1", "3,1,vote1", "2,1,vote1", "-1,0.5,''", "-1,2,vote1"})
+    void renewsVotes(int answer, double seconds, String then) {
+        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        agency.warm(1, agency.old);
+        agency.rules.told(agency.fresh, Build.ON_TRIAL, 0, 0.2, false, agency.now, 0);
+        agency.list(2, agency.fresh, 0, 0, Appliance.UP, agency.now);
+        agency.after(3 * SECOND);
+        assertEquals("vote1", agency.pull());
+        if (answer >= 0) {
+            agency.rules.told(agency.fresh, Build.ON_TRIAL, 0, 0.2, true, agency.now - 3 * SECOND, answer);
+        }
+        assertEquals(then, agency.after((long) (seconds * SECOND)).pull());
+    }
+
+    /** One silent appliance, or one that is cold, is left out and does not convict its build. */
+    @ParameterizedTest
+    @CsvSource({"0", "2"})
+    void silentApplianceIsNoVerdict(int age) {
+        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        for (int id = 1; id < 4; id++) {
+            agency.warm(id, agency.old);
+        }
+        agency.rules.told(agency.fresh, Build.ON_TRIAL, 1, 1, false, agency.now, 0);
+        agency.list(4, agency.fresh, 0, 0, Appliance.UP, age == 0 ? Rules.LONG_AGO : agency.now);
+        agency.serve(20, 0, Pick.TIMEOUT);
+        assertFalse(agency.pull().contains("vote3"));
+        agency.after(SECOND);
+        assertFalse(agency.pull().contains("vote3"));
+    }
+
+    /** Errors that begin when no earlier build is at risk are set against what the earlier one did. */
+    @Test
+    void lateBadBuildIsSentBack() {
+        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        agency.warm(1, agency.old);
+        agency.rules.told(agency.fresh, Build.ON_TRIAL, 1, 1, false, agency.now, 0);
+        agency.serve(60, 0, Pick.OK);
+        agency.warm(2, agency.fresh);
+        agency.list(1, agency.old, 0, 0, Appliance.GONE, Rules.LONG_AGO);
+        agency.rules.told(agency.fresh, Build.RELEASED, 1, 1, false, agency.now, 0);
+        agency.serve(10, 0, Pick.ERROR);
+        agency.after(2 * SECOND).pull();
+        assertEquals("vote3", agency.after(2 * SECOND).pull());
+    }
+
+    /** A list that must be asked is asked at once and again after a failure or no word, not while it stands. */
+    @ParameterizedTest
+    @CsvSource({"none,1,''", "none,3,watch", "fail,1,watch", "answer,9,''", "disk,3,watch"})
+    void asksTheList(String what, int seconds, String then) {
+        Agency agency = new Agency(new Rules.Tries(3, false, false, false, 0), new Rules.Listing(true, 10 * SECOND),
+                new Rules.Desk(0, 1, SECOND, SECOND, 1),
+                new Rules.Exposure(new double[0], new double[0], SECOND, 0, false, 0, false), 0);
+        assertEquals("watch", agency.pull());
+        if (what.equals("fail")) {
+            agency.rules.listFailed();
+        } else if (!what.equals("none")) {
+            agency.rules.listBegins(true, what.equals("disk"));
+            agency.rules.listEnds();
+        }
+        assertEquals(then, agency.after(seconds * SECOND).pull());
+    }
+}
--- /dev/null
+++ b/src/test/java/honeygap/cli/MainTest.java
@@ -0,0 +1,32 @@
+package honeygap.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class MainTest {
+
+    @ParameterizedTest
+    @CsvSource({"'',2,'',usage: java", "serve,2,'',usage: java", "wirehost x,2,'',usage: java", "wirehost,0,'',''",
+        "--help,0,usage: java,''", "--version,0,honeygap ,''"})
+    void subcommands(String args, int status, String out, String err) throws IOException {
+        ByteArrayOutputStream outBytes = new ByteArrayOutputStream();
+        ByteArrayOutputStream errBytes = new ByteArrayOutputStream();
+        assertEquals(status, Main.run(args.isEmpty() ? new String[0] : args.split(" "), InputStream.nullInputStream(),
+                new PrintStream(outBytes, true, StandardCharsets.UTF_8),
+                new PrintStream(errBytes, true, StandardCharsets.UTF_8)));
+        assertEquals(out, head(outBytes, out));
+        assertEquals(err, head(errBytes, err));
+    }
+
+    private static String head(ByteArrayOutputStream bytes, String wanted) {
+        String text = bytes.toString(StandardCharsets.UTF_8);
+        return wanted.isEmpty() ? text : text.substring(0, Math.min(text.length(), wanted.length()));
+    }
+}
