--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -61,6 +61,8 @@
     private static final double HELD = 0.25;
     /** How much of what a cold appliance can bear is used: chance, and work that was not foreseen. */
     private static final double COLD_SAFETY = 0.6;
+    /** Picks that a cold appliance may hold of all agents together, as if it were warm. */
+    private static final double COLD_HELD = 12;
     /** Silent picks in a row before an appliance is left out, and for how many usual times of its methods. */
     private static final int SILENT_TO_LEAVE = 2;
     private static final double AWAY_USUALS = 8;
@@ -677,6 +679,10 @@
         if (warmth >= 1) {
             return true;
         }
+        // A build that needs more work than the earlier one outruns the budget; what is held unanswered does not.
+        if (appliance.out.size() >= Math.max(1, COLD_HELD * warmth / agents)) {
+            return false;
+        }
         while (!appliance.coldWork.isEmpty() && appliance.coldWork.peekFirst()[0] < now - cold.tipAfter) {
             appliance.coldWork.removeFirst();
         }
