--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -528,7 +528,7 @@
         if (newest == null || newest != fitted || phase == Build.WITHDRAWN || phase == Build.REVERTING) {
             return Build.VOTE_NONE;
         }
-        double other = Math.max(worse(late), worse(wrong));
+        double other = worse(wrong);
         double worse = Math.max(worse(fit), other);
         if (worse(fit) > BACK_CHANCE || other > OTHER_BACK_CHANCE) {
             return Build.VOTE_BACK;
