Second effect: answers slowed since the stage began; builds that slow all alike are sent back

Cause: a build that slows every appliance in step with its traffic shows in no comparison of builds. The effect is now fitted over time: late answers since the stage began against before the build. It takes the place of the comparison of late answers by build, which convicted good builds.

--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -37,9 +37,8 @@
     /** A trial build may fail this many times as much before it counts as worse: it carries more than its share. */
     private static final double TOLERATED = 2;
     private static final long ON_WAIT = 3 * SECOND;
-    /** Times the usual past which an answer is an event of the second effect, and strata by picks held. */
+    /** Times the usual past which an answer is an event of the second effect. */
     private static final double FAR_PAST = 3;
-    private static final int CROWDS = 3;
 
     /** Part of the time left to the soft deadline after which a pick that may be repeated is given up. */
     private static final double PATIENCE = 0.6;
@@ -114,6 +113,8 @@
         this.cold = cold;
         this.desk = desk;
         this.exposure = exposure;
+        this.slowed = new Fit(methods.size());
+        this.wrong = new Fit(methods.size());
         for (int i = 0; i < (exposure.perMethod ? methods.size() : 1); i++) {
             takenAt.add(new ArrayDeque<>());
         }
@@ -152,6 +153,7 @@
         }
         Appliance appliance = pick.appliance;
         judge(pick, outcome);
+        lateness(pick, outcome);
         pick.outcome = outcome;
         rpc.out--;
         appliance.out.remove(pick);
@@ -191,8 +193,6 @@
         if (!pick.cold && !onTrial(pick.build)) {
             method.answers++;
             method.usual += Math.max(FADE, 1.0 / method.answers) * (lag - method.usual);
-            int kind = Math.min(appliance.kind, Method.KINDS - 1);
-            method.usualOf[kind] += (method.usualOf[kind] == 0 ? 1 : FADE) * (lag - method.usualOf[kind]);
         }
         if (!pick.cold) {
             warmWork += cost(pick.rpc);
@@ -282,7 +282,19 @@
             stale = true;
         }
 
-        private void fail(int at, boolean isNew) {
+        /** Forgets the new arm of all groups, and what it did; the old arm stays. */
+        void restart() {
+            for (int i = 0; i < size; i++) {
+                risk[i][0] -= risk[i][1];
+                risk[i][1] = 0;
+                risk[i][3] = 0;
+            }
+            events -= ofNew;
+            ofNew = 0;
+            stale = true;
+        }
+
+        void fail(int at, boolean isNew) {
             risk[at][0]++;
             risk[at][1] += isNew ? 1 : 0;
             events++;
@@ -353,11 +365,11 @@
     /** The build on trial that the fit is of, the earlier build being all others; a new build starts a new fit. */
     private Build fitted;
     private Fit fit = new Fit(0);
-    /** Further effects, each by a fit of its own: answers far past the usual, and answers reported wrong. */
-    private Fit late = new Fit(0);
-    private Fit wrong = new Fit(0);
-    /** Picks that lately ended, fading, of the earlier builds and the fitted one, by stratum. */
-    private double[][] lately = new double[0][];
+    /** Further effects, each by a fit of its own: all answers slowed, and answers reported wrong. */
+    private Fit slowed;
+    private long slowedSince;
+    private long releasedUntil = LONG_AGO;
+    private Fit wrong;
 
     private int atRisk(Build build, int method, boolean warm) {
         return (warm ? build.warmInFlight : build.inFlight)[method];
@@ -388,39 +400,31 @@
         if (failed && (old > 0 || !isNew) || slow && pick.appliance.silent == 0 && !pick.cold) {
             fit.event(old, atRisk(fitted, method, slow), isNew);
         }
-        lateness(pick, isNew, outcome != Pick.CONNECT_FAILED);
+        if (outcome == Pick.OK) {
+            wrong.count(method, isNew, false);
+        }
     }
 
     /**
-     * An answer far past what its method usually takes is an event of a second effect, its risk set the picks that
-     * ended lately: in-flight counts swell with slowness and hide it. Strata by method, kind and picks held, so
-     * that neither a slow kind nor a crowded appliance speaks against the build. Guards against builds that need
-     * more work. Harm: one appliance of the build that is slow for a reason of its own.
+     * Answers far past the usual, of all builds alike: the second effect sets those since the stage began against
+     * those before the build came. Guards against a build that slows every appliance in step with its traffic, which
+     * no comparison of builds shows, and against anything else that makes a wider stage unwise. Harm: a slowdown of
+     * another cause that begins in the same seconds and lasts; a passing one only delays 'on'.
      */
-    private void lateness(Pick pick, boolean isNew, boolean counts) {
+    private void lateness(Pick pick, int outcome) {
         Method method = pick.rpc.method;
-        double usual = method.usualOf[Math.min(pick.appliance.kind, Method.KINDS - 1)];
-        if (pick.cold || !counts || usual == 0) {
+        if (pick.cold || method.usual == 0 || outcome != Pick.OK && outcome != Pick.TIMEOUT) {
             return;
         }
-        usual *= heaviness(pick.rpc);
-        double[] recent = recent((method.index * Method.KINDS + Math.min(pick.appliance.kind, Method.KINDS - 1))
-                * CROWDS + pick.crowd);
-        recent[isNew ? 1 : 0]++;
-        if (now - pick.sentAt > FAR_PAST * usual) {
-            late.event(recent[0], recent[1], isNew);
+        boolean during = fitted != null && fitted == trial() || now < releasedUntil;
+        double usual = during && method.before > 0 ? method.before : method.usual;
+        boolean isLate = now - pick.sentAt > FAR_PAST * usual * heaviness(pick.rpc);
+        slowed.count(method.index, during, isLate);
+        if (worse(slowed) <= OTHER_BACK_CHANCE) {
+            slowedSince = now;
         }
     }
 
-    private double[] recent(int stratum) {
-        double[] recent = lately[stratum];
-        double fade = Math.exp((recent[2] - now) / ON_WAIT);
-        recent[0] *= fade;
-        recent[1] *= fade;
-        recent[2] = now;
-        return recent;
-    }
-
     private double chance() {
         CRC32 crc = new CRC32();
         long n = counter++;
@@ -462,6 +466,14 @@
         if (outcome != Pick.OK) {
             return;
         }
+        if (build != newest || stage != this.stage) {
+            slowed.restart();
+        }
+        if (phase == Build.RELEASED && this.phase == Build.ON_TRIAL) {
+            releasedUntil = now + 3 * ON_WAIT;
+        } else if (phase != Build.RELEASED) {
+            releasedUntil = LONG_AGO;
+        }
         newest = build;
         this.phase = phase;
         this.stage = stage;
@@ -477,13 +489,7 @@
     /** A wrong answer, reported late and now and then by mistake: an event of a third effect, like lateness. */
     public void contested(Appliance appliance, Method method, long age) {
         if (fitted != null) {
-            double[] all = new double[2];
-            for (int i = 0; i < Method.KINDS * CROWDS; i++) {
-                double[] recent = recent(method.index * Method.KINDS * CROWDS + i);
-                all[0] += recent[0];
-                all[1] += recent[1];
-            }
-            wrong.event(all[0], all[1], appliance.build == fitted);
+            wrong.fail(method.index, appliance.build == fitted);
         }
     }
 
@@ -497,9 +503,10 @@
         if (trial != null && trial != fitted) {
             fitted = trial;
             fit = new Fit(methods.size());
-            late = new Fit(0);
-            wrong = new Fit(0);
-            lately = new double[methods.size() * Method.KINDS * CROWDS][3];
+            wrong = new Fit(methods.size());
+            for (Method method : methods) {
+                method.before = method.usual;
+            }
             places = 0;
             for (Appliance appliance : fleet) {
                 places += appliance.state == Appliance.UP && appliance.build != trial ? 1 : 0;
@@ -528,9 +535,9 @@
         if (newest == null || newest != fitted || phase == Build.WITHDRAWN || phase == Build.REVERTING) {
             return Build.VOTE_NONE;
         }
-        double other = worse(wrong);
-        double worse = Math.max(worse(fit), other);
-        if (worse(fit) > BACK_CHANCE || other > OTHER_BACK_CHANCE) {
+        double worse = Math.max(worse(fit), worse(wrong));
+        if (worse(fit) > BACK_CHANCE || worse(wrong) > OTHER_BACK_CHANCE
+                || now >= slowedSince + ON_WAIT && worse(slowed) > OTHER_BACK_CHANCE) {
             return Build.VOTE_BACK;
         }
         if (phase == Build.RELEASED) {
@@ -539,7 +546,7 @@
         if (desk.gate == AUTOMATIC) {
             return worse > HOLD_CHANCE ? Build.VOTE_HOLD : Build.VOTE_NONE;
         }
-        return worse <= HOLD_CHANCE && now >= onAfter() ? Build.VOTE_ON : Build.VOTE_NONE;
+        return Math.max(worse, worse(slowed)) <= HOLD_CHANCE && now >= onAfter() ? Build.VOTE_ON : Build.VOTE_NONE;
     }
 
     private static double worse(Fit fit) {
@@ -774,8 +781,8 @@
         }
         if (voteDue(verdict)) {
             if (verdict != votedVerdict) {
-                line = String.format("%s: build %d, stage %d; failures %s; late %s; wrong %s",
-                        VERDICTS[verdict], newest.number, stage, fit, late, wrong);
+                line = String.format("%s: build %d, stage %d; failures %s; slowed %s; wrong %s",
+                        VERDICTS[verdict], newest.number, stage, fit, slowed, wrong);
             }
             votedBuild = newest;
             votedStage = stage;
@@ -857,7 +864,7 @@
 
     private void send(Rpc rpc, Appliance appliance, Ctl ctl) {
         boolean isCold = warmth(appliance) < 1;
-        Pick pick = new Pick(rpc, appliance, now, isCold, Math.min(CROWDS - 1, appliance.out.size() / 2));
+        Pick pick = new Pick(rpc, appliance, now, isCold);
         rpc.picks.add(pick);
         rpc.out++;
         appliance.out.addLast(pick);
--- a/src/main/java/honeygap/fleet/Method.java
+++ b/src/main/java/honeygap/fleet/Method.java
@@ -7,8 +7,6 @@
     public static final int TOKENED = 1;
     public static final int NON_IDEMPOTENT = 2;
 
-    public static final int KINDS = 8;
-
     public static final int SCOPE_ALL = 0;
     public static final int SCOPE_ZONE = 1;
     public static final int SCOPE_CELL = 2;
@@ -25,8 +23,8 @@
 
     /** Mean time of an ok answer, in tenths of a millisecond; 0 before the first. */
     public double usual;
-    /** The same by kind of appliance; kinds beyond the last share it. */
-    public final double[] usualOf = new double[KINDS];
+    /** The same when the build now on trial came. */
+    public double before;
     public long answers;
     /** Mean hint of the work of its RPCs; 0 where there are no hints. */
     public double work;
--- a/src/main/java/honeygap/fleet/Pick.java
+++ b/src/main/java/honeygap/fleet/Pick.java
@@ -19,16 +19,13 @@
     public final Build build;
     public final long sentAt;
     public final boolean cold;
-    /** How crowded the appliance was with this agent's picks: a stratum. */
-    public final int crowd;
     public int outcome = OUT;
 
-    public Pick(Rpc rpc, Appliance appliance, long sentAt, boolean cold, int crowd) {
+    public Pick(Rpc rpc, Appliance appliance, long sentAt, boolean cold) {
         this.rpc = rpc;
         this.appliance = appliance;
         this.build = appliance.build;
         this.sentAt = sentAt;
         this.cold = cold;
-        this.crowd = crowd;
     }
 }
