--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -664,12 +664,13 @@
         if (now < rateSince + SECOND) {
             return;
         }
-        int up = 0;
+        int warm = 0;
         for (Appliance appliance : fleet) {
-            up += appliance.state != Appliance.GONE ? 1 : 0;
+            warm += appliance.state == Appliance.UP && warmth(appliance) >= 1 ? 1 : 0;
         }
-        if (rateSince > LONG_AGO && up > 0) {
-            double rate = (warmWork > 0 || warmRate > 0 ? warmWork : takenWork) / (now - rateSince) / up;
+        // With few warm ones left, as after a build went back, what they took before still holds.
+        if (rateSince > LONG_AGO && (warm * 2 > fleet.size() || warmRate == 0)) {
+            double rate = (warmWork > 0 ? warmWork : takenWork) / (now - rateSince) / Math.max(1, fleet.size());
             warmRate += (warmRate > 0 ? RATE_FADE : 1) * (rate - warmRate);
         }
         warmWork = 0;
