--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -537,7 +537,7 @@
         }
         double worse = Math.max(worse(fit), worse(wrong));
         if (worse(fit) > BACK_CHANCE || worse(wrong) > OTHER_BACK_CHANCE
-                || now >= slowedSince + ON_WAIT && worse(slowed) > OTHER_BACK_CHANCE) {
+                || now >= slowedSince + 2 * ON_WAIT && worse(slowed) > OTHER_BACK_CHANCE) {
             return Build.VOTE_BACK;
         }
         if (phase == Build.RELEASED) {
