--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -57,11 +57,11 @@
     /** The lighter appliance of the build on trial may carry this many times the burden of the earlier one's. */
     private static final double BURIED = 2;
     /** Part of the soft deadline for which an RPC waits for a place before it is pushed back. */
-    private static final double HELD = 0.25;
+    private static final double HELD = 0.05;
     /** How much of what a cold appliance can bear is used: chance, and work that was not foreseen. */
     private static final double COLD_SAFETY = 0.6;
     /** Picks that a cold appliance may hold of all agents together, as if it were warm. */
-    private static final double COLD_HELD = 12;
+    private static final double COLD_HELD = 0.05;
     /** Silent picks in a row before an appliance is left out, and for how many usual times of its methods. */
     private static final int SILENT_TO_LEAVE = 2;
     private static final double AWAY_USUALS = 8;
