--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -53,7 +53,7 @@
     private static final double LIMIT_START = 8;
     /** Part of the soft deadline past which an answer says that its appliance holds too much, and the cut then. */
     private static final double LATE = 0.35;
-    private static final double CUT = 0.9;
+    private static final double CUT = 0.8;
     /** The lighter appliance of the build on trial may carry this many times the burden of the earlier one's. */
     private static final double BURIED = 2;
     /** Part of the soft deadline for which an RPC waits for a place before it is pushed back. */
@@ -211,7 +211,7 @@
             if (outcome == Pick.OK && appliance.out.size() >= appliance.limit / 2) {
                 appliance.limit += 1 / appliance.limit;
             }
-        } else if (now >= appliance.cutAt + rpc.method.usual) {
+        } else if (now >= appliance.cutAt + rpc.method.usual && appliance.out.size() + 1 >= appliance.limit / 2) {
             appliance.limit = Math.max(1, appliance.limit * CUT);
             appliance.cutAt = now;
         }
