--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -208,7 +208,7 @@
         boolean late = outcome == Pick.FULL || outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED
                 || lag > LATE * rpc.method.softDeadline * heaviness(rpc);
         if (!late) {
-            if (outcome == Pick.OK && appliance.out.size() >= appliance.limit / 2) {
+            if (outcome == Pick.OK && appliance.out.size() + 1 >= appliance.limit / 2) {
                 appliance.limit += 1 / appliance.limit;
             }
         } else if (now >= appliance.cutAt + rpc.method.usual && appliance.out.size() + 1 >= appliance.limit / 2) {
