--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -52,7 +52,7 @@
     /** Picks an appliance may hold of this agent at first; in part while it is cold. */
     private static final double LIMIT_START = 8;
     /** Part of the soft deadline past which an answer says that its appliance holds too much, and the cut then. */
-    private static final double LATE = 0.35;
+    private static final double LATE = 0.25;
     private static final double CUT = 0.8;
     /** The lighter appliance of the build on trial may carry this many times the burden of the earlier one's. */
     private static final double BURIED = 2;
