--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -282,15 +282,15 @@
             stale = true;
         }
 
-        /** Forgets the new arm of all groups, and what it did; the old arm stays. */
-        void restart() {
+        /** Forgets part of the new arm of all groups, and of what failed there; the old arm stays. */
+        void fade(double keep) {
             for (int i = 0; i < size; i++) {
-                risk[i][0] -= risk[i][1];
-                risk[i][1] = 0;
-                risk[i][3] = 0;
+                risk[i][0] -= (1 - keep) * risk[i][1];
+                risk[i][1] *= keep;
+                risk[i][3] *= keep;
             }
-            events -= ofNew;
-            ofNew = 0;
+            events -= (1 - keep) * ofNew;
+            ofNew *= keep;
             stale = true;
         }
 
@@ -406,7 +406,7 @@
     }
 
     /**
-     * Answers far past the usual, of all builds alike: the second effect sets those since the stage began against
+     * Answers far past the usual, of all builds alike: the second effect sets those of the last seconds against
      * those before the build came. Guards against a build that slows every appliance in step with its traffic, which
      * no comparison of builds shows, and against anything else that makes a wider stage unwise. Harm: a slowdown of
      * another cause that begins in the same seconds and lasts; a passing one only delays 'on'.
@@ -466,8 +466,8 @@
         if (outcome != Pick.OK) {
             return;
         }
-        if (build != newest || stage != this.stage) {
-            slowed.restart();
+        if (build != newest) {
+            slowed.fade(0);
         }
         if (phase == Build.RELEASED && this.phase == Build.ON_TRIAL) {
             releasedUntil = now + 3 * ON_WAIT;
@@ -673,6 +673,7 @@
             double rate = (warmWork > 0 ? warmWork : takenWork) / (now - rateSince) / Math.max(1, fleet.size());
             warmRate += (warmRate > 0 ? RATE_FADE : 1) * (rate - warmRate);
         }
+        slowed.fade(1 - (double) SECOND / ON_WAIT);
         warmWork = 0;
         takenWork = 0;
         rateSince = now;
