--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -31,8 +31,6 @@
     // The design's starting values.
     private static final double BACK_CHANCE = 0.95;
     private static final double HOLD_CHANCE = 0.8;
-    /** The other effects are surer before they send a build back: appliances are slow for many reasons. */
-    private static final double OTHER_BACK_CHANCE = 0.995;
     private static final int FAILURES_TO_JUDGE = 3;
     /** A trial build may fail this many times as much before it counts as worse: it carries more than its share. */
     private static final double TOLERATED = 2;
@@ -420,7 +418,7 @@
         double usual = during && method.before > 0 ? method.before : method.usual;
         boolean isLate = now - pick.sentAt > FAR_PAST * usual * heaviness(pick.rpc);
         slowed.count(method.index, during, isLate);
-        if (worse(slowed) <= OTHER_BACK_CHANCE) {
+        if (worse(slowed) <= BACK_CHANCE) {
             slowedSince = now;
         }
     }
@@ -536,8 +534,7 @@
             return Build.VOTE_NONE;
         }
         double worse = Math.max(worse(fit), worse(wrong));
-        if (worse(fit) > BACK_CHANCE || worse(wrong) > OTHER_BACK_CHANCE
-                || now >= slowedSince + 2 * ON_WAIT && worse(slowed) > OTHER_BACK_CHANCE) {
+        if (worse > BACK_CHANCE || now >= slowedSince + 2 * ON_WAIT && worse(slowed) > BACK_CHANCE) {
             return Build.VOTE_BACK;
         }
         if (phase == Build.RELEASED) {
