--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -670,7 +670,7 @@
             double rate = (warmWork > 0 ? warmWork : takenWork) / (now - rateSince) / Math.max(1, fleet.size());
             warmRate += (warmRate > 0 ? RATE_FADE : 1) * (rate - warmRate);
         }
-        slowed.fade(1 - (double) SECOND / ON_WAIT);
+        slowed.fade(0.5);
         warmWork = 0;
         takenWork = 0;
         rateSince = now;
