--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -418,7 +418,7 @@
         double usual = during && method.before > 0 ? method.before : method.usual;
         boolean isLate = now - pick.sentAt > FAR_PAST * usual * heaviness(pick.rpc);
         slowed.count(method.index, during, isLate);
-        if (worse(slowed) <= BACK_CHANCE) {
+        if (worse(slowed) <= HOLD_CHANCE) {
             slowedSince = now;
         }
     }
