--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -534,7 +534,7 @@
             return Build.VOTE_NONE;
         }
         double worse = Math.max(worse(fit), worse(wrong));
-        if (worse > BACK_CHANCE || now >= slowedSince + 2 * ON_WAIT && worse(slowed) > BACK_CHANCE) {
+        if (worse > BACK_CHANCE || now >= slowedSince + 3 * ON_WAIT && worse(slowed) > BACK_CHANCE) {
             return Build.VOTE_BACK;
         }
         if (phase == Build.RELEASED) {
