--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -13,9 +13,9 @@
 
 /**
  * The decision module: everything that one agent decides. The host tells it what happened ({@link #now}, then
- * {@link #taken}, {@link #ended}, {@link #listed}, {@link #told} and the like), which only updates what is known,
- * and then pulls decisions with {@link #next} until there is none. Decisions go out by {@link Ctl}. Times are
- * whole tenths of a millisecond. docs/design.md says what comes from which part of the paper.
+ * {@link #taken}, {@link #ended}, {@link #listed}, {@link #told} and the like), which only updates what is
+ * known, and then pulls decisions with {@link #next} until there is none. Decisions go out by {@link Ctl}.
+ * Times are whole tenths of a millisecond. docs/design.md says what comes from which part of the paper.
  */
 public final class Rules {
 
@@ -32,7 +32,7 @@
     private static final double BACK_CHANCE = 0.95;
     private static final double HOLD_CHANCE = 0.8;
     private static final int FAILURES_TO_JUDGE = 3;
-    /** A trial build may fail this many times as much before it counts as worse: it carries more than its share. */
+    /** A trial build may fail this many times as much, since it carries more than its machines' share. */
     private static final double TOLERATED = 2;
     private static final long ON_WAIT = 3 * SECOND;
     /** Times the usual past which an answer is an event of the second effect. */
@@ -49,10 +49,10 @@
     private static final double RATE_FADE = 1.0 / 3;
     /** Picks an appliance may hold of this agent at first; in part while it is cold. */
     private static final double LIMIT_START = 8;
-    /** Part of the soft deadline past which an answer says that its appliance holds too much, and the cut then. */
+    /** Part of the soft deadline past which an answer cuts its appliance's limit, and to what part. */
     private static final double LATE = 0.25;
     private static final double CUT = 0.8;
-    /** The lighter appliance of the build on trial may carry this many times the burden of the earlier one's. */
+    /** The lighter appliance of the trial build may carry this many times the earlier one's burden. */
     private static final double BURIED = 2;
     /** Part of the soft deadline for which an RPC waits for a place before it is pushed back. */
     private static final double HELD = 0.05;
@@ -64,17 +64,17 @@
     private static final int SILENT_TO_LEAVE = 2;
     private static final double AWAY_USUALS = 8;
 
-    /** Picks of one RPC: how many, two at once or not, and whether clients heed being told to stay away. */
-    public record Tries(int most, boolean copies, boolean mayCancel, boolean stayAwayHeard, long stayAwayMost) { }
+    /** Picks of one RPC at most, and whether and how long clients heed being told to stay away. */
+    public record Tries(int most, boolean stayAwayHeard, long stayAwayMost) { }
 
-    /** The appliance list: whether it must be asked, and the time without asking after which it counts as told. */
+    /** The appliance list: whether it must be asked, and how long it may go unasked. */
     public record Listing(boolean asked, long askWithin) { }
 
     /** A cold appliance: what it starts from, when it is warm, and what pushes it over. */
     public record Cold(double from, long warmAfter, double fallMultiple, long tipAfter) { }
 
-    /** The desk: what votes do, the votes needed for 'on', how long one stands and how fast they are taken. */
-    public record Desk(int gate, int ayes, long voteStands, long callTimeout, double votesPerS) { }
+    /** The desk: what votes do, how long one stands, its call's time-out, and how fast they are taken. */
+    public record Desk(int gate, long voteStands, long callTimeout, double votesPerS) { }
 
     /** Exposure: cap and share of the fleet by stage, and how picks are counted. */
     public record Exposure(double[] caps, double[] waves, long window, double uncounted, boolean perMethod,
@@ -99,8 +99,8 @@
     private long wokenFor = Long.MAX_VALUE;
     private double further = FURTHER_MOST;
 
-    public Rules(long now, long seed, int agents, long tick, List<Method> methods, Tries tries, Listing listing,
-                 Cold cold, Desk desk, Exposure exposure) {
+    public Rules(long now, long seed, int agents, long tick, List<Method> methods, Tries tries,
+                 Listing listing, Cold cold, Desk desk, Exposure exposure) {
         this.now = now;
         this.seed = seed;
         this.agents = Math.max(1, agents);
@@ -198,9 +198,10 @@
     }
 
     /**
-     * How many picks the appliance may hold of this agent: more while answers come well before the soft deadline,
-     * fewer when they come late or not at all. Guards against a jam, whatever made it: overload, a burst, a slow
-     * appliance, everything slower at once. Could harm where a method is slow by nature; its floor is one pick.
+     * How many picks the appliance may hold of this agent: more while answers come well before the soft
+     * deadline, fewer when they come late or not at all. Guards against a jam, whatever made it: overload, a
+     * burst, a slow appliance, everything slower at once. Could harm where a method is slow by nature; its
+     * floor is one pick.
      */
     private void pace(Appliance appliance, Rpc rpc, int outcome, long lag) {
         boolean late = outcome == Pick.FULL || outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED
@@ -209,7 +210,8 @@
             if (outcome == Pick.OK && appliance.out.size() + 1 >= appliance.limit / 2) {
                 appliance.limit += 1 / appliance.limit;
             }
-        } else if (now >= appliance.cutAt + rpc.method.usual && appliance.out.size() + 1 >= appliance.limit / 2) {
+        } else if (now >= appliance.cutAt + rpc.method.usual
+                && appliance.out.size() + 1 >= appliance.limit / 2) {
             appliance.limit = Math.max(1, appliance.limit * CUT);
             appliance.cutAt = now;
         }
@@ -241,12 +243,13 @@
     // ------------------------------------------------------------------ the fit
 
     /**
-     * The effect theta of one build on trial: Breslow partial likelihood over events with the risk sets o_old and
-     * o_new at each, and a normal prior with mean 0 and variance 1. Concave, so Newton finds the one maximum.
+     * The effect theta of one build on trial: Breslow partial likelihood over events with the risk sets o_old
+     * and o_new at each, and a normal prior with mean 0 and variance 1. Concave, so Newton finds the one
+     * maximum.
      */
     static final class Fit {
 
-        // Event j: how many failed at once, of them on the new build, and the risk sets. The first are grouped ones.
+        // Event j: failures, of them on the new build, and the two risk sets. The first are grouped ones.
         private double[][] risk;
         private int size;
         private double events;
@@ -271,7 +274,7 @@
             fail(size++, isNew);
         }
 
-        /** Counts a pick of the group: picks of either build are its risk set, those that failed its events. */
+        /** Counts a pick of the group: all picks are its risk set, those that failed its events. */
         void count(int group, boolean isNew, boolean failed) {
             risk[group][isNew ? 3 : 2]++;
             if (failed) {
@@ -360,7 +363,7 @@
         }
     }
 
-    /** The build on trial that the fit is of, the earlier build being all others; a new build starts a new fit. */
+    /** The build that the fit is of, all others being the earlier one; a new build starts a new fit. */
     private Build fitted;
     private Fit fit = new Fit(0);
     /** Further effects, each by a fit of its own: all answers slowed, and answers reported wrong. */
@@ -373,14 +376,14 @@
         return (warm ? build.warmInFlight : build.inFlight)[method];
     }
 
-    /** Errors, time-outs, resets and failed connections are events; the failing pick is still in its risk set. */
+    /** Errors, time-outs, resets and failed connections are events, the failing pick still at risk. */
     private void judge(Pick pick, int outcome) {
         boolean failed = outcome == Pick.ERROR || outcome == Pick.RESET;
         boolean slow = outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED;
         if (fitted == null || !failed && !slow && outcome != Pick.OK) {
             return;
         }
-        // Strata by method: methods kept from the trial build, and ones that fail by nature, say nothing of it.
+        // Strata by method: methods kept from the trial build, or failing by nature, say nothing of it.
         int method = pick.rpc.method.index;
         boolean isNew = pick.build == fitted;
         int old = 0;
@@ -388,13 +391,14 @@
             old += build == fitted ? 0 : atRisk(build, method, slow);
         }
         if (!slow && (!isNew || old == 0)) {
-            // No earlier build is at risk: the last stage, or after the release. What it did before stands in as a
-            // grouped risk set, for errors and resets only, which hardly depend on load. Guards against builds
-            // that turn bad late or under load. Harm: errors that begin anywhere else just then.
+            // No earlier build is at risk: the last stage, or after the release. What it did before stands in
+            // as a grouped risk set, for errors and resets only, which hardly depend on load. Guards against
+            // builds that turn bad late or under load. Harm: errors that begin anywhere else just then.
             fit.count(method, isNew, failed && isNew);
         }
-        // A silent appliance is one event however many picks it held, and one that is still cold may time out by
-        // being cold: neither must convict its build. Harm: a build that only ever times out is judged later.
+        // A silent appliance is one event however many picks it held, and one that is still cold may time out
+        // by being cold: neither must convict its build. Harm: a build that only ever times out is judged
+        // later.
         if (failed && (old > 0 || !isNew) || slow && pick.appliance.silent == 0 && !pick.cold) {
             fit.event(old, atRisk(fitted, method, slow), isNew);
         }
@@ -404,10 +408,11 @@
     }
 
     /**
-     * Answers far past the usual, of all builds alike: the second effect sets those of the last seconds against
-     * those before the build came. Guards against a build that slows every appliance in step with its traffic, which
-     * no comparison of builds shows, and against anything else that makes a wider stage unwise. Harm: a slowdown of
-     * another cause that begins in the same seconds and lasts; a passing one only delays 'on'.
+     * Answers far past the usual, of all builds alike: the second effect sets those of the last seconds
+     * against those before the build came. Guards against a build that slows every appliance in step with its
+     * traffic, which no comparison of builds shows, and against anything else that makes a wider stage
+     * unwise. Harm: a slowdown of another cause that begins in the same seconds and lasts; a passing one only
+     * delays 'on'.
      */
     private void lateness(Pick pick, int outcome) {
         Method method = pick.rpc.method;
@@ -484,7 +489,7 @@
         note(build);
     }
 
-    /** A wrong answer, reported late and now and then by mistake: an event of a third effect, like lateness. */
+    /** A wrong answer, reported late and now and then by mistake: an event of a third effect. */
     public void contested(Appliance appliance, Method method, long age) {
         if (fitted != null) {
             wrong.fail(method.index, appliance.build == fitted);
@@ -543,7 +548,8 @@
         if (desk.gate == AUTOMATIC) {
             return worse > HOLD_CHANCE ? Build.VOTE_HOLD : Build.VOTE_NONE;
         }
-        return Math.max(worse, worse(slowed)) <= HOLD_CHANCE && now >= onAfter() ? Build.VOTE_ON : Build.VOTE_NONE;
+        boolean good = Math.max(worse, worse(slowed)) <= HOLD_CHANCE;
+        return good && now >= onAfter() ? Build.VOTE_ON : Build.VOTE_NONE;
     }
 
     private static double worse(Fit fit) {
@@ -561,13 +567,14 @@
             }
         }
         int wanted = stage < exposure.waves.length ? Math.max(1, (int) (exposure.waves[stage] * places)) : 1;
-        // A list that lags, or appliances that cannot start, must not hold a good build up for ever. Harm: 'on' is
-        // said with less of the stage seen.
+        // A list that lags, or appliances that cannot start, must not hold a good build up for ever. Harm:
+        // 'on' is said with less of the stage seen.
         return listed >= wanted ? last + ON_WAIT : Math.max(last, stageSince + 2 * ON_WAIT) + ON_WAIT;
     }
 
     private boolean voteDue(int verdict) {
-        if (now < votedAt + 2 * SECOND * agents / desk.votesPerS || voteOut && now < votedAt + desk.callTimeout + 2 * tick) {
+        if (now < votedAt + 2 * SECOND * agents / desk.votesPerS
+                || voteOut && now < votedAt + desk.callTimeout + 2 * tick) {
             return false;
         }
         boolean same = votedBuild == newest && votedVerdict == verdict
@@ -632,7 +639,7 @@
 
     // ------------------------------------------------------------------ cold appliances
 
-    /** Work answered by warm appliances, for what one of them takes through this agent; refreshed each second. */
+    /** Work answered by warm appliances, for what one of them takes through this agent. */
     private double warmWork;
     private double takenWork;
     private double warmRate;
@@ -667,7 +674,8 @@
         }
         // With few warm ones left, as after a build went back, what they took before still holds.
         if (rateSince > LONG_AGO && (warm * 2 > fleet.size() || warmRate == 0)) {
-            double rate = (warmWork > 0 ? warmWork : takenWork) / (now - rateSince) / Math.max(1, fleet.size());
+            double work = warmWork > 0 ? warmWork : takenWork;
+            double rate = work / (now - rateSince) / Math.max(1, fleet.size());
             warmRate += (warmRate > 0 ? RATE_FADE : 1) * (rate - warmRate);
         }
         slowed.fade(0.5);
@@ -685,7 +693,7 @@
         if (warmth >= 1) {
             return true;
         }
-        // A build that needs more work than the earlier one outruns the budget; what is held unanswered does not.
+        // A build that needs more work outruns the budget; what is held unanswered does not.
         if (appliance.out.size() >= Math.max(1, COLD_HELD * warmth / agents)) {
             return false;
         }
@@ -696,7 +704,8 @@
         for (long[] work : appliance.coldWork) {
             sent += work[1];
         }
-        return sent == 0 || sent + cost(rpc) <= COLD_SAFETY * cold.fallMultiple * warmth * warmRate * cold.tipAfter;
+        double budget = COLD_SAFETY * cold.fallMultiple * warmth * warmRate * cold.tipAfter;
+        return sent == 0 || sent + cost(rpc) <= budget;
     }
 
     // ------------------------------------------------------------------ the list
@@ -713,8 +722,8 @@
         named.clear();
     }
 
-    public void listed(Appliance appliance, Build build, int zone, int cell, int kind, double rating, int state,
-                       long startedAt) {
+    public void listed(Appliance appliance, Build build, int zone, int cell, int kind, double rating,
+                       int state, long startedAt) {
         named.add(appliance);
         if (!fleet.contains(appliance)) {
             fleet.add(appliance);
@@ -758,7 +767,7 @@
     }
 
     private boolean askDue() {
-        return listing.asked && !listAnswered && (askedAt == LONG_AGO || now >= askedAt + listing.askWithin / 4);
+        return listing.asked && !listAnswered && now >= askedAt + listing.askWithin / 4;
     }
 
     // ------------------------------------------------------------------ decisions
@@ -854,7 +863,8 @@
         boolean harmless = !mayRun || rpc.method.effect == Method.IDEMPOTENT
                 || rpc.method.effect == Method.TOKENED && rpc.method.scope == Method.SCOPE_ALL;
         if (harmless && now < rpc.deadline) {
-            ctl.pushBack(rpc, tries.stayAwayHeard ? Math.min(tries.stayAwayMost, rpc.method.softDeadline) : 0);
+            long stayAway = Math.min(tries.stayAwayMost, rpc.method.softDeadline);
+            ctl.pushBack(rpc, tries.stayAwayHeard ? stayAway : 0);
         } else {
             ctl.abort(rpc);
         }
@@ -883,7 +893,7 @@
         ctl.pick(rpc, appliance, within(rpc));
     }
 
-    /** How long a pick may take: shorter than the deadline only where another one may follow and still be in time. */
+    /** How long a pick may take: under the deadline only where another may follow and still be in time. */
     private long within(Rpc rpc) {
         long left = Math.max(1, rpc.deadline - now);
         Method method = rpc.method;
@@ -903,7 +913,8 @@
 
     private static Pick firstThatMayRun(Rpc rpc) {
         for (Pick pick : rpc.picks) {
-            if (pick.outcome != Pick.FULL && pick.outcome != Pick.CONNECT_FAILED && pick.outcome != Pick.MOOT) {
+            if (pick.outcome != Pick.FULL && pick.outcome != Pick.CONNECT_FAILED
+                    && pick.outcome != Pick.MOOT) {
                 return pick;
             }
         }
@@ -969,7 +980,7 @@
         return !buried && !failedNew && wantsNew(rpc, readyOld, readyNew) ? ofNew : ofOld;
     }
 
-    /** One draw an RPC: even until the first failure, then by theta; the earlier build gets its share at most. */
+    /** One draw an RPC: even until the first failure, then by theta; the earlier build's share is bounded. */
     private boolean wantsNew(Rpc rpc, int readyOld, int readyNew) {
         if (!rpc.drawn) {
             rpc.drawn = true;
@@ -979,7 +990,7 @@
         return rpc.drawnNew || sentOld > share * (sentOld + sentNew);
     }
 
-    /** Two random choices on in-flight counts, among the healthy that were not tried yet where there are any. */
+    /** Two random choices on in-flight counts, among the healthy not tried yet where there are any. */
     private Appliance lighter(Rpc rpc, List<Appliance> from) {
         List<Appliance> best = new ArrayList<>();
         for (Appliance appliance : from) {
--- a/src/main/java/honeygap/wire/Agent.java
+++ b/src/main/java/honeygap/wire/Agent.java
@@ -30,20 +30,21 @@
         this.who = who;
         for (Fields method : info.objects("Classes")) {
             methods.add(new Method(methods.size(), effect(method.text("Effect")),
-                    scope(method.text("KeyScope", "all")), method.tenths("WindowNs", 0), method.tenths("AimNs"),
-                    method.tenths("GiveUpNs"), method.number("Worth", 1), method.number("LateWorth", 0)));
+                    scope(method.text("KeyScope", "all")), method.tenths("WindowNs", 0),
+                    method.tenths("AimNs"), method.tenths("GiveUpNs"),
+                    method.number("Worth", 1), method.number("LateWorth", 0)));
         }
         Fields ceilings = info.part("Ceilings");
         Fields family = info.part("FamilyInfo");
         Fields guards = info.part("Rules");
         rules = new Rules(now, seed, info.index("FleetSize", 1), info.tenths("TickNs"), methods,
-                new Rules.Tries(ceilings.index("MaxAttempts", 1), ceilings.flag("SecondCopies", false),
-                        ceilings.flag("Cancel", false), ceilings.flag("RetryAfter", false),
+                new Rules.Tries(ceilings.index("MaxAttempts", 1), ceilings.flag("RetryAfter", false),
                         ceilings.tenths("MaxRetryAfterNs", 0)),
-                new Rules.Listing(info.text("RegistryMode", "push").equals("ask"), guards.tenths("MustAskInNs", 0)),
+                new Rules.Listing(info.text("RegistryMode", "push").equals("ask"),
+                        guards.tenths("MustAskInNs", 0)),
                 new Rules.Cold(guards.number("ColdFrom", 1), guards.tenths("WarmAfterNs", 0),
                         guards.number("FallMultiple", 1), guards.tenths("TipAfterNs", 0)),
-                new Rules.Desk(gate(family.text("GateMode", "first_voice")), family.index("AyesNeeded", 1),
+                new Rules.Desk(gate(family.text("GateMode", "first_voice")),
                         family.tenths("VoteStandsNs", 0), family.tenths("CallTimeoutNs", 0),
                         family.number("VotesPerS", 1)),
                 new Rules.Exposure(family.has("Caps") ? family.numbers("Caps") : new double[0],
@@ -133,8 +134,8 @@
                         now - event.tenths("LatenessNs", 0), event.index("Reason"));
                 break;
             case "Digest":
-                rules.counted(build(event.index("Image")), method(event), event.whole("Many"), event.whole("Bad"),
-                        event.tenths("LagNs", 0), event.tenths("LatenessNs", 0));
+                rules.counted(build(event.index("Image")), method(event), event.whole("Many"),
+                        event.whole("Bad"), event.tenths("LagNs", 0), event.tenths("LatenessNs", 0));
                 break;
             case "Contested":
                 rules.contested(appliance(event.whole("Appliance")), method(event),
--- a/src/main/java/honeygap/wire/WireHost.java
+++ b/src/main/java/honeygap/wire/WireHost.java
@@ -21,8 +21,8 @@
 /** Hosts many agents on the simulator's wire: reads a batch a line, hands it on, writes a reply a line. */
 public final class WireHost {
 
-    private static final Set<String> EVENTS = Set.of("Boot", "Fleet", "NewRequest", "Left", "Fired", "ProbeResult",
-            "ShipState", "Completed", "Contested", "Digest", "CrashNow", "UnderWay", "Inbox");
+    private static final Set<String> EVENTS = Set.of("Boot", "Fleet", "NewRequest", "Left", "Fired",
+            "ProbeResult", "ShipState", "Completed", "Contested", "Digest", "CrashNow", "UnderWay", "Inbox");
 
     private final InputStream in;
     private final OutputStream out;
