--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -52,8 +52,6 @@
     /** Part of the soft deadline past which an answer cuts its appliance's limit, and to what part. */
     private static final double LATE = 0.25;
     private static final double CUT = 0.8;
-    /** The lighter appliance of the trial build may carry this many times the earlier one's burden. */
-    private static final double BURIED = 2;
     /** Part of the soft deadline for which an RPC waits for a place before it is pushed back. */
     private static final double HELD = 0.05;
     /** How much of what a cold appliance can bear is used: chance, and work that was not foreseen. */
@@ -975,9 +973,7 @@
         if (ofOld == null || ofNew == null) {
             return ofOld == null ? ofNew : ofOld;
         }
-        // Few appliances of a wide stage are up, or they are jammed: the draw must not bury them.
-        boolean buried = burden(ofNew) > BURIED * burden(ofOld);
-        return !buried && !failedNew && wantsNew(rpc, readyOld, readyNew) ? ofNew : ofOld;
+        return !failedNew && wantsNew(rpc, readyOld, readyNew) ? ofNew : ofOld;
     }
 
     /** One draw an RPC: even until the first failure, then by theta; the earlier build's share is bounded. */
