--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -462,7 +462,8 @@
     public void told(Build build, int phase, int stage, double cap, boolean answer, long since, int outcome) {
         if (answer) {
             voteOut = false;
-            voteStood = outcome == Pick.OK;
+            // Moot: the stage has moved on, which news will tell; the same call again would only fill the desk.
+            voteStood = outcome == Pick.OK || outcome == Pick.MOOT;
         }
         if (outcome != Pick.OK) {
             return;
