--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -37,6 +37,9 @@
     private static final long ON_WAIT = 3 * SECOND;
     /** Times the usual past which an answer is an event of the second effect. */
     private static final double FAR_PAST = 3;
+    /** What is kept of its new arm each second, and how many waits it must last to send a build back. */
+    private static final double SLOWED_KEPT = 0.5;
+    private static final int SLOWED_WAITS = 3;
 
     /** Part of the time left to the soft deadline after which a pick that may be repeated is given up. */
     private static final double PATIENCE = 0.6;
@@ -56,8 +59,6 @@
     private static final double HELD = 0.05;
     /** How much of what a cold appliance can bear is used: chance, and work that was not foreseen. */
     private static final double COLD_SAFETY = 0.6;
-    /** Picks that a cold appliance may hold of all agents together, as if it were warm. */
-    private static final double COLD_HELD = 0.05;
     /** Silent picks in a row before an appliance is left out, and for how many usual times of its methods. */
     private static final int SILENT_TO_LEAVE = 2;
     private static final double AWAY_USUALS = 8;
@@ -163,7 +164,6 @@
         } else if (outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED) {
             silence(appliance, rpc.method);
         } else if (outcome != Pick.CANCELLED && outcome != Pick.MOOT) {
-            appliance.lastAnswerAt = now;
             appliance.silent = 0;
         }
         if (closed) {
@@ -177,7 +177,6 @@
     private void answered(Pick pick, long lag) {
         Appliance appliance = pick.appliance;
         Method method = pick.rpc.method;
-        appliance.lastAnswerAt = now;
         appliance.silent = 0;
         appliance.awayUntil = LONG_AGO;
         if (exposure.keysStay && pick.rpc.key != null && onTrial(pick.build)) {
@@ -217,7 +216,6 @@
 
     private void silence(Appliance appliance, Method method) {
         appliance.silent++;
-        appliance.lastFailAt = now;
         if (appliance.silent >= SILENT_TO_LEAVE) {
             double usuals = AWAY_USUALS * (1 << Math.min(3, appliance.silent - SILENT_TO_LEAVE));
             appliance.awayUntil = now + (long) (usuals * Math.max(method.usual, method.softDeadline / 4));
@@ -462,7 +460,7 @@
     public void told(Build build, int phase, int stage, double cap, boolean answer, long since, int outcome) {
         if (answer) {
             voteOut = false;
-            // Moot: the stage has moved on, which news will tell; the same call again would only fill the desk.
+            // Moot: the stage has moved on, as news will tell; the same call again would only fill the desk.
             voteStood = outcome == Pick.OK || outcome == Pick.MOOT;
         }
         if (outcome != Pick.OK) {
@@ -472,7 +470,7 @@
             slowed.fade(0);
         }
         if (phase == Build.RELEASED && this.phase == Build.ON_TRIAL) {
-            releasedUntil = now + 3 * ON_WAIT;
+            releasedUntil = now + SLOWED_WAITS * ON_WAIT;
         } else if (phase != Build.RELEASED) {
             releasedUntil = LONG_AGO;
         }
@@ -538,7 +536,8 @@
             return Build.VOTE_NONE;
         }
         double worse = Math.max(worse(fit), worse(wrong));
-        if (worse > BACK_CHANCE || now >= slowedSince + 3 * ON_WAIT && worse(slowed) > BACK_CHANCE) {
+        boolean lasting = now >= slowedSince + SLOWED_WAITS * ON_WAIT;
+        if (worse > BACK_CHANCE || lasting && worse(slowed) > BACK_CHANCE) {
             return Build.VOTE_BACK;
         }
         if (phase == Build.RELEASED) {
@@ -677,7 +676,7 @@
             double rate = work / (now - rateSince) / Math.max(1, fleet.size());
             warmRate += (warmRate > 0 ? RATE_FADE : 1) * (rate - warmRate);
         }
-        slowed.fade(0.5);
+        slowed.fade(SLOWED_KEPT);
         warmWork = 0;
         takenWork = 0;
         rateSince = now;
@@ -692,8 +691,8 @@
         if (warmth >= 1) {
             return true;
         }
-        // A build that needs more work outruns the budget; what is held unanswered does not.
-        if (appliance.out.size() >= Math.max(1, COLD_HELD * warmth / agents)) {
+        // One pick of each agent at a time: a build that needs more work outruns the budget, but not this.
+        if (!appliance.out.isEmpty()) {
             return false;
         }
         while (!appliance.coldWork.isEmpty() && appliance.coldWork.peekFirst()[0] < now - cold.tipAfter) {
@@ -832,15 +831,10 @@
     /** Decides about an RPC that has no pick out; false when it is held. */
     private boolean decide(Rpc rpc, Ctl ctl) {
         boolean mayRun = firstThatMayRun(rpc) != null;
-        if (now >= rpc.deadline - 2 * tick) {
+        if (now >= rpc.deadline - 2 * tick || rpc.picks.size() >= tries.most
+                || mayRun && (rpc.method.effect == Method.NON_IDEMPOTENT || further < 1)) {
             return finish(rpc, mayRun, ctl);
         }
-        if (rpc.picks.size() >= tries.most || mayRun && rpc.method.effect == Method.NON_IDEMPOTENT) {
-            return finish(rpc, mayRun, ctl);
-        }
-        if (mayRun && further < 1) {
-            return finish(rpc, true, ctl);
-        }
         Appliance appliance = choose(rpc);
         if (appliance != null) {
             if (mayRun) {
@@ -962,9 +956,7 @@
         }
         // After the release RPCs go to the newer build.
         int newestOld = latest;
-        if (!old.isEmpty()) {
-            old.removeIf(appliance -> appliance.build.number < newestOld);
-        }
+        old.removeIf(appliance -> appliance.build.number < newestOld);
         if (old.isEmpty() || fresh.isEmpty()) {
             return lighter(rpc, old.isEmpty() ? fresh : old);
         }
--- a/src/main/java/honeygap/fleet/Appliance.java
+++ b/src/main/java/honeygap/fleet/Appliance.java
@@ -27,8 +27,6 @@
     /** How many picks it may hold of this agent, and when that was last cut. */
     public double limit;
     public long cutAt = Long.MIN_VALUE / 2;
-    public long lastAnswerAt = Long.MIN_VALUE / 2;
-    public long lastFailAt = Long.MIN_VALUE / 2;
     /** Picks in a row that ended without a word from it. */
     public int silent;
     /** Left out of picks until then. */
@@ -39,7 +37,6 @@
     public double util = Double.NaN;
     public double queue = Double.NaN;
     public long reportAt = Long.MIN_VALUE / 2;
-    public long probedAt = Long.MIN_VALUE / 2;
 
     public Appliance(long id) {
         this.id = id;
--- a/src/test/java/honeygap/RulesTest.java
+++ b/src/test/java/honeygap/RulesTest.java
@@ -173,7 +173,8 @@
 
     /** A vote is renewed before it lapses, sent again when its call failed, and not while the call is out. */
     @ParameterizedTest
-    @CsvSource({"0,1,''", "0,5,vote1", "1,1,vote1", "3,1,vote1", "2,1,vote1", "7,1,''", "-1,0.5,''", "-1,2,vote1"})
+    @CsvSource({"0,1,''", "0,5,vote1", "1,1,vote1", "3,1,vote1", "2,1,vote1", "7,1,''", "-1,0.5,''",
+        "-1,2,vote1"})
     void renewsVotes(int answer, double seconds, String then) {
         Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
         agency.warm(1, agency.old);
