Cold appliances earn credit from a random start; no pick of each agent at once

Now work earns credit, one pick at most, from a first credit drawn evenly: any number of agents spread.

--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -683,8 +683,10 @@
     }
 
     /**
-     * Guards against pushing a cold appliance over: work sent within the window stays under what it can bear,
-     * taken from what a warm one gets through this agent. Every agent keeping to its part, all together do.
+     * Guards against pushing a cold appliance over: work sent to it earns credit at a part of what a warm one
+     * gets through this agent, and the first credit is drawn evenly up to one pick. So any number of agents
+     * that hear of the start together spread their picks over the time that these take, and all keeping to
+     * their part, all together do.
      */
     private boolean bears(Appliance appliance, Rpc rpc) {
         double warmth = warmth(appliance);
@@ -695,15 +697,14 @@
         if (!appliance.out.isEmpty()) {
             return false;
         }
-        while (!appliance.coldWork.isEmpty() && appliance.coldWork.peekFirst()[0] < now - cold.tipAfter) {
-            appliance.coldWork.removeFirst();
+        double cost = cost(rpc);
+        double rate = COLD_SAFETY * cold.fallMultiple * warmth * warmRate;
+        if (appliance.creditAt != now) {
+            appliance.credit = appliance.creditAt < appliance.startedAt ? chance() * cost
+                    : Math.min(cost, appliance.credit + rate * (now - appliance.creditAt));
+            appliance.creditAt = now;
         }
-        double sent = 0;
-        for (long[] work : appliance.coldWork) {
-            sent += work[1];
-        }
-        double budget = COLD_SAFETY * cold.fallMultiple * warmth * warmRate * cold.tipAfter;
-        return sent == 0 || sent + cost(rpc) <= budget;
+        return appliance.credit >= cost;
     }
 
     // ------------------------------------------------------------------ the list
@@ -873,7 +874,7 @@
         appliance.build.inFlight[rpc.method.index]++;
         appliance.build.warmInFlight[rpc.method.index] += isCold ? 0 : 1;
         if (isCold) {
-            appliance.coldWork.addLast(new long[] {now, (long) Math.ceil(cost(rpc))});
+            appliance.credit -= cost(rpc);
         }
         if (onTrial(appliance.build)) {
             appliance.build.exposed.addLast(new long[] {now, exposureGroup(rpc.method)});
--- a/src/main/java/honeygap/fleet/Appliance.java
+++ b/src/main/java/honeygap/fleet/Appliance.java
@@ -31,8 +31,9 @@
     public int silent;
     /** Left out of picks until then. */
     public long awayUntil = Long.MIN_VALUE / 2;
-    /** Work sent while it is cold: time and size of each pick. */
-    public final ArrayDeque<long[]> coldWork = new ArrayDeque<>();
+    /** Work that this agent may send it while it is cold, and as of when. */
+    public double credit;
+    public long creditAt = Long.MIN_VALUE / 2;
     /** Its last load report: share of its cores in use, RPCs waiting; NaN when never told. */
     public double util = Double.NaN;
     public double queue = Double.NaN;
