--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -143,21 +143,21 @@
         rpc.closed = true;
     }
 
-    public void ended(Rpc rpc, int index, int outcome, boolean closed, double util, double queue) {
+    /** A pick ended; the time that it took is the wire's, since an agent that stalled reads it late. */
+    public void ended(Rpc rpc, int index, int outcome, boolean closed, long lag, double util, double queue) {
         Pick pick = rpc.picks.get(index);
         if (pick.outcome != Pick.OUT) {
             return;
         }
         Appliance appliance = pick.appliance;
         judge(pick, outcome);
-        lateness(pick, outcome);
+        lateness(pick, outcome, lag);
         pick.outcome = outcome;
         rpc.out--;
         appliance.out.remove(pick);
         pick.build.inFlight[rpc.method.index]--;
         pick.build.warmInFlight[rpc.method.index] -= pick.cold ? 0 : 1;
         report(appliance, util, queue);
-        long lag = now - pick.sentAt;
         pace(appliance, rpc, outcome, lag);
         if (outcome == Pick.OK) {
             answered(pick, lag);
@@ -410,14 +410,14 @@
      * unwise. Harm: a slowdown of another cause that begins in the same seconds and lasts; a passing one only
      * delays 'on'.
      */
-    private void lateness(Pick pick, int outcome) {
+    private void lateness(Pick pick, int outcome, long lag) {
         Method method = pick.rpc.method;
         if (pick.cold || method.usual == 0 || outcome != Pick.OK && outcome != Pick.TIMEOUT) {
             return;
         }
         boolean during = fitted != null && fitted == trial() || now < releasedUntil;
         double usual = during && method.before > 0 ? method.before : method.usual;
-        boolean isLate = now - pick.sentAt > FAR_PAST * usual * heaviness(pick.rpc);
+        boolean isLate = lag > FAR_PAST * usual * heaviness(pick.rpc);
         slowed.count(method.index, during, isLate);
         if (worse(slowed) <= HOLD_CHANCE) {
             slowedSince = now;
--- a/src/main/java/honeygap/wire/Agent.java
+++ b/src/main/java/honeygap/wire/Agent.java
@@ -165,7 +165,7 @@
         }
         Fields load = event.part("Pressure");
         rules.ended(rpc, go, event.index("Reason"), event.flag("NoMore", false),
-                load.number("load_share", Double.NaN), load.number("depth", Double.NaN));
+                event.tenths("LagNs"), load.number("load_share", Double.NaN), load.number("depth", Double.NaN));
         forget(rpc);
     }
 
--- a/src/test/java/honeygap/Agency.java
+++ b/src/test/java/honeygap/Agency.java
@@ -78,7 +78,8 @@
     }
 
     void end(Rpc rpc, int outcome) {
-        rules.ended(rpc, rpc.picks.size() - 1, outcome, outcome == 0, Double.NaN, Double.NaN);
+        int index = rpc.picks.size() - 1;
+        rules.ended(rpc, index, outcome, outcome == 0, now - rpc.picks.get(index).sentAt, Double.NaN, Double.NaN);
     }
 
     /** One RPC after another, each answered at once: ok, or with this outcome on the fresh build. */
