--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -55,6 +55,13 @@
     /** Part of the soft deadline past which an answer cuts its appliance's limit, and to what part. */
     private static final double LATE = 0.25;
     private static final double CUT = 0.8;
+    /**
+     * Part of the soft deadline past which an answer speaks of a jam, the share of such answers at which the
+     * room for picks of all appliances together stays as it is, and what one takes off it.
+     */
+    private static final double JAM = 0.5;
+    private static final double JAM_SHARE = 0.2;
+    private static final double ROOM_CUT = 0.5;
     /** Part of the soft deadline for which an RPC waits for a place before it is pushed back. */
     private static final double HELD = 0.05;
     /** How much of what a cold appliance can bear is used: chance, and work that was not foreseen. */
@@ -97,6 +104,8 @@
     private final ArrayDeque<Rpc> held = new ArrayDeque<>();
     private long wokenFor = Long.MAX_VALUE;
     private double further = FURTHER_MOST;
+    private double room = LIMIT_START;
+    private int out;
 
     public Rules(long now, long seed, int agents, long tick, List<Method> methods, Tries tries,
                  Listing listing, Cold cold, Desk desk, Exposure exposure) {
@@ -154,6 +163,7 @@
         lateness(pick, outcome, lag);
         pick.outcome = outcome;
         rpc.out--;
+        out--;
         appliance.out.remove(pick);
         pick.build.inFlight[rpc.method.index]--;
         pick.build.warmInFlight[rpc.method.index] -= pick.cold ? 0 : 1;
@@ -203,6 +213,14 @@
     private void pace(Appliance appliance, Rpc rpc, int outcome, long lag) {
         boolean late = outcome == Pick.FULL || outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED
                 || lag > LATE * rpc.method.softDeadline * heaviness(rpc);
+        // All appliances together: with hundreds of agents one pick of each at one appliance is a jam already.
+        boolean jam = outcome == Pick.FULL || outcome == Pick.TIMEOUT
+                || outcome == Pick.OK && lag > JAM * rpc.method.softDeadline * heaviness(rpc);
+        if (jam) {
+            room = Math.max(1, room - ROOM_CUT);
+        } else if (outcome == Pick.OK && out + 1 >= room / 2) {
+            room += ROOM_CUT * JAM_SHARE / (1 - JAM_SHARE);
+        }
         if (!late) {
             if (outcome == Pick.OK && appliance.out.size() + 1 >= appliance.limit / 2) {
                 appliance.limit += 1 / appliance.limit;
@@ -836,7 +854,7 @@
                 || mayRun && (rpc.method.effect == Method.NON_IDEMPOTENT || further < 1)) {
             return finish(rpc, mayRun, ctl);
         }
-        Appliance appliance = choose(rpc);
+        Appliance appliance = out < room ? choose(rpc) : null;
         if (appliance != null) {
             if (mayRun) {
                 further--;
@@ -870,6 +888,7 @@
         Pick pick = new Pick(rpc, appliance, now, isCold);
         rpc.picks.add(pick);
         rpc.out++;
+        out++;
         appliance.out.addLast(pick);
         appliance.build.inFlight[rpc.method.index]++;
         appliance.build.warmInFlight[rpc.method.index] += isCold ? 0 : 1;
