--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -2,9 +2,12 @@
 
 import honeygap.fleet.Appliance;
 import honeygap.fleet.Build;
+import honeygap.fleet.Location;
 import honeygap.fleet.Method;
 import honeygap.fleet.Pick;
+import honeygap.fleet.Room;
 import honeygap.fleet.Rpc;
+import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -34,6 +37,9 @@
     private static final int FAILURES_TO_JUDGE = 3;
     /** A trial build may fail this many times as much, since it carries more than its machines' share. */
     private static final double TOLERATED = 2;
+    /** Times its own picks that the desk must sample for its counts to join, and failures beneath notice. */
+    private static final double SAMPLED_TO_JOIN = 2;
+    private static final double BENEATH_NOTICE = 0.02;
     private static final long ON_WAIT = 3 * SECOND;
     /** Times the usual past which an answer is an event of the second effect. */
     private static final double FAR_PAST = 3;
@@ -49,19 +55,17 @@
     private static final double FURTHER_SHARE = 0.1;
     private static final double FURTHER_MOST = 10;
     private static final double FADE = 1.0 / 32;
+    private static final double WAY_FADE = 1.0 / 8;
     private static final double RATE_FADE = 1.0 / 3;
     /** Picks an appliance may hold of this agent at first; in part while it is cold. */
     private static final double LIMIT_START = 8;
-    /** Part of the soft deadline past which an answer cuts its appliance's limit, and to what part. */
-    private static final double LATE = 0.25;
-    private static final double CUT = 0.8;
-    /**
-     * Part of the soft deadline past which an answer speaks of a jam, the share of such answers at which the
-     * room for picks of all appliances together stays as it is, and what one takes off it.
-     */
+    /** Part of the soft deadline past which answers tell of a jam, their share that room bears, the cut. */
     private static final double JAM = 0.5;
     private static final double JAM_SHARE = 0.2;
     private static final double ROOM_CUT = 0.5;
+    /** What is left of the room at first even in a jam; a new build's, against what warm appliances hold. */
+    private static final double ROOM_LEAST = 0.25;
+    private static final double TRIAL_START = 3;
     /** Part of the soft deadline for which an RPC waits for a place before it is pushed back. */
     private static final double HELD = 0.05;
     /** How much of what a cold appliance can bear is used: chance, and work that was not foreseen. */
@@ -79,8 +83,9 @@
     /** A cold appliance: what it starts from, when it is warm, and what pushes it over. */
     public record Cold(double from, long warmAfter, double fallMultiple, long tipAfter) { }
 
-    /** The desk: what votes do, how long one stands, its call's time-out, and how fast they are taken. */
-    public record Desk(int gate, long voteStands, long callTimeout, double votesPerS) { }
+    /** The desk: what votes do and how long, its time-out, voices to send back, what it takes and samples. */
+    public record Desk(int gate, long voteStands, long callTimeout, int noes, double votesPerS,
+                       double sampledShare) { }
 
     /** Exposure: cap and share of the fleet by stage, and how picks are counted. */
     public record Exposure(double[] caps, double[] waves, long window, double uncounted, boolean perMethod,
@@ -99,13 +104,12 @@
     private final Exposure exposure;
 
     private final List<Appliance> fleet = new ArrayList<>();
+    private final List<Location> zones = new ArrayList<>();
     private final List<Build> builds = new ArrayList<>();
     private final ArrayDeque<Rpc> todo = new ArrayDeque<>();
     private final ArrayDeque<Rpc> held = new ArrayDeque<>();
     private long wokenFor = Long.MAX_VALUE;
     private double further = FURTHER_MOST;
-    private double room = LIMIT_START;
-    private int out;
 
     public Rules(long now, long seed, int agents, long tick, List<Method> methods, Tries tries,
                  Listing listing, Cold cold, Desk desk, Exposure exposure) {
@@ -153,7 +157,7 @@
     }
 
     /** A pick ended; the time that it took is the wire's, since an agent that stalled reads it late. */
-    public void ended(Rpc rpc, int index, int outcome, boolean closed, long lag, double util, double queue) {
+    public void ended(Rpc rpc, int index, int outcome, boolean closed, long lag) {
         Pick pick = rpc.picks.get(index);
         if (pick.outcome != Pick.OUT) {
             return;
@@ -163,12 +167,13 @@
         lateness(pick, outcome, lag);
         pick.outcome = outcome;
         rpc.out--;
-        out--;
+        pick.build.room.out--;
+        appliance.room.out--;
         appliance.out.remove(pick);
         pick.build.inFlight[rpc.method.index]--;
         pick.build.warmInFlight[rpc.method.index] -= pick.cold ? 0 : 1;
-        report(appliance, util, queue);
-        pace(appliance, rpc, outcome, lag);
+        way(appliance.zone, rpc, outcome, lag);
+        pace(pick, outcome, lag);
         if (outcome == Pick.OK) {
             answered(pick, lag);
         } else if (outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED) {
@@ -189,7 +194,9 @@
         Method method = pick.rpc.method;
         appliance.silent = 0;
         appliance.awayUntil = LONG_AGO;
-        if (exposure.keysStay && pick.rpc.key != null && onTrial(pick.build)) {
+        // Also after the release, while appliances of the earlier build may still have room.
+        boolean isNew = newest != null && pick.build.number >= newest.number;
+        if (isNew && exposure.keysStay && pick.rpc.key != null) {
             pick.build.keys.add(pick.rpc.key);
         }
         if (method.usual > 0) {
@@ -205,52 +212,64 @@
     }
 
     /**
-     * How many picks the appliance may hold of this agent: more while answers come well before the soft
-     * deadline, fewer when they come late or not at all. Guards against a jam, whatever made it: overload, a
-     * burst, a slow appliance, everything slower at once. Could harm where a method is slow by nature; its
-     * floor is one pick.
+     * Room for picks at an appliance and at all of a build, since one pick of each of hundreds of agents is a
+     * jam. It shrinks while over a share of the answers is late; under one pick there is a rest after each.
+     * Guards against a jam, whatever made it: overload, a burst, slowness of one or all, a new build's few
+     * appliances. Harm: what is late for other reasons: early give-ups, silence, slow ways do not count.
      */
-    private void pace(Appliance appliance, Rpc rpc, int outcome, long lag) {
-        boolean late = outcome == Pick.FULL || outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED
-                || lag > LATE * rpc.method.softDeadline * heaviness(rpc);
-        // All appliances together: with hundreds of agents one pick of each at one appliance is a jam already.
-        boolean jam = outcome == Pick.FULL || outcome == Pick.TIMEOUT
-                || outcome == Pick.OK && lag > JAM * rpc.method.softDeadline * heaviness(rpc);
-        if (jam) {
-            room = Math.max(1, room - ROOM_CUT);
-        } else if (outcome == Pick.OK && out + 1 >= room / 2) {
-            room += ROOM_CUT * JAM_SHARE / (1 - JAM_SHARE);
+    private void pace(Pick pick, int outcome, long lag) {
+        Appliance appliance = pick.appliance;
+        boolean jam = outcome == Pick.FULL || lag > JAM * pick.rpc.method.softDeadline * heaviness(pick.rpc)
+                && (outcome == Pick.OK || outcome == Pick.TIMEOUT && appliance.silent == 0)
+                && !away(appliance.zone);
+        if (jam || outcome == Pick.OK) {
+            adapt(pick.build.room, jam, lag);
+            adapt(appliance.room, jam, lag);
         }
-        if (!late) {
-            if (outcome == Pick.OK && appliance.out.size() + 1 >= appliance.limit / 2) {
-                appliance.limit += 1 / appliance.limit;
-            }
-        } else if (now >= appliance.cutAt + rpc.method.usual
-                && appliance.out.size() + 1 >= appliance.limit / 2) {
-            appliance.limit = Math.max(1, appliance.limit * CUT);
-            appliance.cutAt = now;
+    }
+
+    private void adapt(Room room, boolean jam, long lag) {
+        double most = room.each * room.appliances;
+        double step = ROOM_CUT / Math.max(1, most);
+        if (jam) {
+            room.each = Math.max(room.least, room.each * (1 - step));
+        } else if (room.out + 1 >= most / 2) {
+            room.each *= 1 + step * JAM_SHARE / (1 - JAM_SHARE);
         }
+        room.restUntil = now + (long) (lag * (1 / Math.min(1, room.each * room.appliances) - 1));
     }
 
-    private void silence(Appliance appliance, Method method) {
-        appliance.silent++;
-        if (appliance.silent >= SILENT_TO_LEAVE) {
-            double usuals = AWAY_USUALS * (1 << Math.min(3, appliance.silent - SILENT_TO_LEAVE));
-            appliance.awayUntil = now + (long) (usuals * Math.max(method.usual, method.softDeadline / 4));
+    private boolean free(Room room) {
+        return room.out < room.each * room.appliances && (room.out > 0 || now >= room.restUntil);
+    }
+
+    /** How the way to a location is, by what comes back from there and what does not. */
+    private void way(Location zone, Rpc rpc, int outcome, long lag) {
+        if (rpc.method.usual > 0 && (outcome == Pick.OK || outcome == Pick.TIMEOUT
+                || outcome == Pick.CONNECT_FAILED)) {
+            double ratio = lag / expected(rpc);
+            double seen = outcome == Pick.OK ? ratio : Math.max(ratio, 2 * FAR_PAST);
+            zone.pace += WAY_FADE * (Math.min(seen, 4 * FAR_PAST) - zone.pace);
         }
     }
 
-    private void report(Appliance appliance, double util, double queue) {
-        if (!Double.isNaN(util) || !Double.isNaN(queue)) {
-            appliance.util = util;
-            appliance.queue = queue;
-            appliance.reportAt = now;
+    /**
+     * A location whose answers take far longer than the best one's is left out but for a pick now and then.
+     * Guards against slow, lossy or cut links and slowness of one place. Harm: the others carry its part.
+     */
+    private boolean away(Location zone) {
+        double best = zone.pace;
+        for (Location other : zones) {
+            best = Math.min(best, other.pace);
         }
+        return zone.pace > FAR_PAST * best;
     }
 
-    public void probed(Appliance appliance, int outcome, double util, double queue) {
-        if (outcome == Pick.OK) {
-            report(appliance, util, queue);
+    private void silence(Appliance appliance, Method method) {
+        appliance.silent++;
+        if (appliance.silent >= SILENT_TO_LEAVE) {
+            double usuals = AWAY_USUALS * (1 << Math.min(3, appliance.silent - SILENT_TO_LEAVE));
+            appliance.awayUntil = now + (long) (usuals * Math.max(method.usual, method.softDeadline / 4));
         }
     }
 
@@ -258,13 +277,12 @@
 
     /**
      * The effect theta of one build on trial: Breslow partial likelihood over events with the risk sets o_old
-     * and o_new at each, and a normal prior with mean 0 and variance 1. Concave, so Newton finds the one
-     * maximum.
+     * and o_new at each, and a normal prior with mean 0 and variance 1. Newton finds the one maximum.
      */
     static final class Fit {
 
         // Event j: failures, of them on the new build, and the two risk sets. The first are grouped ones.
-        private double[][] risk;
+        private double[][] risk = {};
         private int size;
         private double events;
         private double ofNew;
@@ -273,27 +291,34 @@
         private boolean stale;
 
         Fit(int groups) {
-            risk = new double[groups + 64][];
-            for (int i = 0; i < groups; i++) {
-                risk[i] = new double[4];
-            }
-            size = groups;
+            open(groups);
         }
 
         void event(double oOld, double oNew, boolean isNew) {
-            if (size == risk.length) {
-                risk = Arrays.copyOf(risk, 2 * size);
-            }
-            risk[size] = new double[] {0, 0, oOld, oNew};
-            fail(size++, isNew);
+            int at = open(1);
+            add(at, false, oOld, 0);
+            add(at, true, oNew, 0);
+            add(at, isNew, 0, 1);
         }
 
-        /** Counts a pick of the group: all picks are its risk set, those that failed its events. */
-        void count(int group, boolean isNew, boolean failed) {
-            risk[group][isNew ? 3 : 2]++;
-            if (failed) {
-                fail(group, isNew);
+        /** Opens groups of tied events; the number of the first. */
+        int open(int groups) {
+            if (size + groups > risk.length) {
+                risk = Arrays.copyOf(risk, 2 * (size + groups));
+            }
+            for (int i = 0; i < groups; i++) {
+                risk[size++] = new double[4];
             }
+            return size - groups;
+        }
+
+        /** Adds to a group so many at risk and so many of them failed. */
+        void add(int group, boolean isNew, double many, double bad) {
+            risk[group][isNew ? 3 : 2] += many;
+            risk[group][0] += bad;
+            risk[group][1] += isNew ? bad : 0;
+            events += bad;
+            ofNew += isNew ? bad : 0;
             stale = true;
         }
 
@@ -309,23 +334,11 @@
             stale = true;
         }
 
-        void fail(int at, boolean isNew) {
-            risk[at][0]++;
-            risk[at][1] += isNew ? 1 : 0;
-            events++;
-            ofNew += isNew ? 1 : 0;
-            stale = true;
-        }
-
         @Override
         public String toString() {
             return String.format("%.0f of %.0f, theta %.2f +- %.2f", ofNew, events, mode(), spread());
         }
 
-        double ofNew() {
-            return ofNew;
-        }
-
         /** The maximum of the partial likelihood with the prior. */
         double mode() {
             solve();
@@ -340,7 +353,12 @@
 
         /** Chance that the build on trial fails more than this many times as much as the earlier one. */
         double worse(double times) {
-            return normal((-Math.log(times) - mode()) / spread());
+            double x = (-Math.log(times) - mode()) / spread();
+            // The standard normal distribution function (Abramowitz and Stegun 26.2.17).
+            double t = 1 / (1 + 0.2316419 * Math.abs(x));
+            double tail = Math.exp(-x * x / 2) / Math.sqrt(2 * Math.PI) * t * (0.319381530 + t * (-0.356563782
+                    + t * (1.781477937 + t * (-1.821255978 + t * 1.330274429))));
+            return x > 0 ? 1 - tail : tail;
         }
 
         private void solve() {
@@ -367,14 +385,6 @@
             }
             mode = theta;
         }
-
-        /** The standard normal distribution function (Abramowitz and Stegun 26.2.17). */
-        private static double normal(double x) {
-            double t = 1 / (1 + 0.2316419 * Math.abs(x));
-            double tail = Math.exp(-x * x / 2) / Math.sqrt(2 * Math.PI) * t * (0.319381530 + t * (-0.356563782
-                    + t * (1.781477937 + t * (-1.821255978 + t * 1.330274429))));
-            return x > 0 ? 1 - tail : tail;
-        }
     }
 
     /** The build that the fit is of, all others being the earlier one; a new build starts a new fit. */
@@ -383,12 +393,11 @@
     /** Further effects, each by a fit of its own: all answers slowed, and answers reported wrong. */
     private Fit slowed;
     private long slowedSince;
-    private long releasedUntil = LONG_AGO;
     private Fit wrong;
-
-    private int atRisk(Build build, int method, boolean warm) {
-        return (warm ? build.warmInFlight : build.inFlight)[method];
-    }
+    /** The first effect once more, from the desk's counts of all agents; when and in which groups of it. */
+    private Fit allAgents = new Fit(0);
+    private long countedAt;
+    private int counts;
 
     /** Errors, time-outs, resets and failed connections are events, the failing pick still at risk. */
     private void judge(Pick pick, int outcome) {
@@ -402,55 +411,51 @@
         boolean isNew = pick.build == fitted;
         int old = 0;
         for (Build build : builds) {
-            old += build == fitted ? 0 : atRisk(build, method, slow);
+            old += build == fitted ? 0 : (slow ? build.warmInFlight : build.inFlight)[method];
         }
         if (!slow && (!isNew || old == 0)) {
-            // No earlier build is at risk: the last stage, or after the release. What it did before stands in
-            // as a grouped risk set, for errors and resets only, which hardly depend on load. Guards against
-            // builds that turn bad late or under load. Harm: errors that begin anywhere else just then.
-            fit.count(method, isNew, failed && isNew);
-        }
-        // A silent appliance is one event however many picks it held, and one that is still cold may time out
-        // by being cold: neither must convict its build. Harm: a build that only ever times out is judged
-        // later.
+            // No earlier build is at risk: what it did before stands in as a grouped risk set, for errors and
+            // resets. Guards against builds that turn bad late. Harm: errors that begin elsewhere just then.
+            fit.add(method, isNew, 1, failed && isNew ? 1 : 0);
+        }
+        // A silent appliance is one event however many picks it held, and a cold one may time out by being
+        // cold: neither must convict its build. Harm: a build that only ever times out is judged later.
         if (failed && (old > 0 || !isNew) || slow && pick.appliance.silent == 0 && !pick.cold) {
-            fit.event(old, atRisk(fitted, method, slow), isNew);
+            fit.event(old, (slow ? fitted.warmInFlight : fitted.inFlight)[method], isNew);
         }
         if (outcome == Pick.OK) {
-            wrong.count(method, isNew, false);
+            wrong.add(method, isNew, 1, 0);
         }
     }
 
     /**
      * Answers far past the usual, of all builds alike: the second effect sets those of the last seconds
      * against those before the build came. Guards against a build that slows every appliance in step with its
-     * traffic, which no comparison of builds shows, and against anything else that makes a wider stage
-     * unwise. Harm: a slowdown of another cause that begins in the same seconds and lasts; a passing one only
-     * delays 'on'.
+     * traffic, and anything else that makes a wider stage unwise. Harm: another slowdown that begins then and
+     * lasts; a passing one only delays 'on'.
      */
     private void lateness(Pick pick, int outcome, long lag) {
         Method method = pick.rpc.method;
-        if (pick.cold || method.usual == 0 || outcome != Pick.OK && outcome != Pick.TIMEOUT) {
+        // While earlier appliances are there, they alone tell: those of a new build are slow by being few.
+        if (pick.cold || method.usual == 0 || outcome != Pick.OK && outcome != Pick.TIMEOUT
+                || pick.build == fitted && earlier() > 0) {
             return;
         }
-        boolean during = fitted != null && fitted == trial() || now < releasedUntil;
-        double usual = during && method.before > 0 ? method.before : method.usual;
-        boolean isLate = lag > FAR_PAST * usual * heaviness(pick.rpc);
-        slowed.count(method.index, during, isLate);
+        double usual = during() && method.before > 0 ? method.before : method.usual;
+        slowed.add(method.index, during(), 1, lag > FAR_PAST * usual * heaviness(pick.rpc) ? 1 : 0);
         if (worse(slowed) <= HOLD_CHANCE) {
             slowedSince = now;
         }
     }
 
+    private boolean during() {
+        return fitted != null && (fitted == trial() || fitted == newest && phase == Build.RELEASED
+                && now < stageSince + SLOWED_WAITS * ON_WAIT);
+    }
+
     private double chance() {
         CRC32 crc = new CRC32();
-        long n = counter++;
-        for (int i = 0; i < 64; i += 8) {
-            crc.update((int) (seed >>> i));
-        }
-        for (int i = 0; i < 64; i += 8) {
-            crc.update((int) (n >>> i));
-        }
+        crc.update(ByteBuffer.allocate(16).putLong(seed).putLong(counter++).array());
         return (crc.getValue() + 0.5) / 4294967296.0;
     }
 
@@ -487,11 +492,6 @@
         if (build != newest) {
             slowed.fade(0);
         }
-        if (phase == Build.RELEASED && this.phase == Build.ON_TRIAL) {
-            releasedUntil = now + SLOWED_WAITS * ON_WAIT;
-        } else if (phase != Build.RELEASED) {
-            releasedUntil = LONG_AGO;
-        }
         newest = build;
         this.phase = phase;
         this.stage = stage;
@@ -500,14 +500,27 @@
         note(build);
     }
 
-    public void counted(Build build, Method method, long many, long bad, long mean, long age) {
+    /**
+     * What the desk counted of all agents in a period: a group of tied events a method, where it samples more
+     * than this agent sees, so that hundreds of agents with few RPCs need not wait for failures of their own.
+     * Failures beneath notice are added to both arms: a cold start must not convict. Harm: late.
+     */
+    public void counted(Build build, Method method, long many, long bad) {
         note(build);
+        if (fitted == null || agents * desk.sampledShare < SAMPLED_TO_JOIN) {
+            return;
+        }
+        if (countedAt != now) {
+            countedAt = now;
+            counts = allAgents.open(methods.size());
+        }
+        allAgents.add(counts + method.index, build == fitted, many, bad + BENEATH_NOTICE * many);
     }
 
     /** A wrong answer, reported late and now and then by mistake: an event of a third effect. */
     public void contested(Appliance appliance, Method method, long age) {
         if (fitted != null) {
-            wrong.fail(method.index, appliance.build == fitted);
+            wrong.add(method.index, appliance.build == fitted, 0, 1);
         }
     }
 
@@ -515,37 +528,44 @@
     private void note(Build build) {
         if (!builds.contains(build)) {
             builds.add(build);
+            build.room.least = ROOM_LEAST * LIMIT_START / agents;
+            double start = warmRate > 0 ? TRIAL_START * warmRate : LIMIT_START;
+            build.room.each = Math.min(LIMIT_START / agents, start);
             builds.sort((a, b) -> Integer.compare(a.number, b.number));
         }
         Build trial = trial();
         if (trial != null && trial != fitted) {
             fitted = trial;
             fit = new Fit(methods.size());
+            allAgents = new Fit(0);
+            countedAt = LONG_AGO;
             wrong = new Fit(methods.size());
             for (Method method : methods) {
                 method.before = method.usual;
             }
-            places = 0;
-            for (Appliance appliance : fleet) {
-                places += appliance.state == Appliance.UP && appliance.build != trial ? 1 : 0;
-            }
+            places = earlier();
         }
     }
 
     private int places;
 
+    /** Appliances up of other builds than the one that the fit is of. */
+    private int earlier() {
+        int ups = 0;
+        for (Build build : builds) {
+            ups += build == fitted ? 0 : build.room.appliances;
+        }
+        return ups;
+    }
+
     /** Not yet announced, or announced and not released: what the exposure rule calls on trial. */
     private boolean onTrial(Build build) {
         return newest != null && (build.number > newest.number || build == newest && phase != Build.RELEASED);
     }
 
     private Build trial() {
-        for (int i = builds.size() - 1; i >= 0; i--) {
-            if (onTrial(builds.get(i))) {
-                return builds.get(i);
-            }
-        }
-        return null;
+        Build last = builds.isEmpty() ? null : builds.get(builds.size() - 1);
+        return last != null && onTrial(last) ? last : null;
     }
 
     /** The verdict that this agent stands for now. */
@@ -553,9 +573,12 @@
         if (newest == null || newest != fitted || phase == Build.WITHDRAWN || phase == Build.REVERTING) {
             return Build.VOTE_NONE;
         }
-        double worse = Math.max(worse(fit), worse(wrong));
+        double worse = Math.max(worse(allAgents), Math.max(worse(fit), worse(wrong)));
         boolean lasting = now >= slowedSince + SLOWED_WAITS * ON_WAIT;
-        if (worse > BACK_CHANCE || lasting && worse(slowed) > BACK_CHANCE) {
+        // Where few voices are enough, all agents share the chance that one of them is wrong.
+        double few = Math.min(1, (double) desk.noes * desk.noes / agents);
+        boolean back = Math.max(worse(fit), worse(wrong)) > 1 - (1 - BACK_CHANCE) * few;
+        if (back || worse(allAgents) > BACK_CHANCE || lasting && worse(slowed) > BACK_CHANCE) {
             return Build.VOTE_BACK;
         }
         if (phase == Build.RELEASED) {
@@ -569,23 +592,19 @@
     }
 
     private static double worse(Fit fit) {
-        return fit.ofNew() < FAILURES_TO_JUDGE ? 0 : fit.worse(TOLERATED);
+        return fit.ofNew < FAILURES_TO_JUDGE ? 0 : fit.worse(TOLERATED);
     }
 
     /** When 'on' may be said: a wait after the last listed start of the stage's appliances. */
     private long onAfter() {
-        int listed = 0;
         long last = stageSince;
         for (Appliance appliance : fleet) {
-            if (appliance.state == Appliance.UP && appliance.build == newest) {
-                listed++;
-                last = Math.max(last, appliance.startedAt);
-            }
+            boolean listed = appliance.state == Appliance.UP && appliance.build == newest;
+            last = Math.max(last, listed ? appliance.startedAt : stageSince);
         }
         int wanted = stage < exposure.waves.length ? Math.max(1, (int) (exposure.waves[stage] * places)) : 1;
-        // A list that lags, or appliances that cannot start, must not hold a good build up for ever. Harm:
-        // 'on' is said with less of the stage seen.
-        return listed >= wanted ? last + ON_WAIT : Math.max(last, stageSince + 2 * ON_WAIT) + ON_WAIT;
+        // A list that lags must not hold a good build up for ever. Harm: 'on' with less of the stage seen.
+        return ON_WAIT + (newest.room.appliances >= wanted ? last : Math.max(last, stageSince + 2 * ON_WAIT));
     }
 
     private boolean voteDue(int verdict) {
@@ -624,11 +643,8 @@
             return true;
         }
         int at = build.number > newest.number ? 0 : stage;
-        if (at < exposure.shielded && method.effect != Method.IDEMPOTENT) {
-            return false;
-        }
         double share = capOf(build);
-        if (share <= 0) {
+        if (share <= 0 || at < exposure.shielded && method.effect != Method.IDEMPOTENT) {
             return false;
         }
         int group = exposureGroup(method);
@@ -684,11 +700,8 @@
         if (now < rateSince + SECOND) {
             return;
         }
-        int warm = 0;
-        for (Appliance appliance : fleet) {
-            warm += appliance.state == Appliance.UP && warmth(appliance) >= 1 ? 1 : 0;
-        }
-        // With few warm ones left, as after a build went back, what they took before still holds.
+        long warm = fleet.stream().filter(a -> a.state == Appliance.UP && warmth(a) >= 1).count();
+        // With few warm ones left, what they took before still holds.
         if (rateSince > LONG_AGO && (warm * 2 > fleet.size() || warmRate == 0)) {
             double work = warmWork > 0 ? warmWork : takenWork;
             double rate = work / (now - rateSince) / Math.max(1, fleet.size());
@@ -701,10 +714,9 @@
     }
 
     /**
-     * Guards against pushing a cold appliance over: work sent to it earns credit at a part of what a warm one
-     * gets through this agent, and the first credit is drawn evenly up to one pick. So any number of agents
-     * that hear of the start together spread their picks over the time that these take, and all keeping to
-     * their part, all together do.
+     * Guards against pushing a cold appliance over: credit grows by a part of what a warm one gets through
+     * this agent, from a first one drawn evenly up to one pick. So any number of agents that hear of the
+     * start together spread their picks, and all keeping to their part, all together do.
      */
     private boolean bears(Appliance appliance, Rpc rpc) {
         double warmth = warmth(appliance);
@@ -739,8 +751,7 @@
         named.clear();
     }
 
-    public void listed(Appliance appliance, Build build, int zone, int cell, int kind, double rating,
-                       int state, long startedAt) {
+    public void listed(Appliance appliance, Build build, Location zone, int cell, int state, long startedAt) {
         named.add(appliance);
         if (!fleet.contains(appliance)) {
             fleet.add(appliance);
@@ -750,15 +761,15 @@
             appliance.pace = 1;
             appliance.silent = 0;
             appliance.awayUntil = LONG_AGO;
-            appliance.util = Double.NaN;
-            appliance.queue = Double.NaN;
-            appliance.limit = LIMIT_START * (now < startedAt + cold.warmAfter ? cold.from / 2 : 1);
+            appliance.room.least = 1;
+            appliance.room.each = LIMIT_START * (now < startedAt + cold.warmAfter ? cold.from / 2 : 1);
         }
         appliance.build = build;
         appliance.zone = zone;
+        if (!zones.contains(zone)) {
+            zones.add(zone);
+        }
         appliance.cell = cell;
-        appliance.kind = kind;
-        appliance.rating = rating;
         appliance.state = state;
         appliance.startedAt = startedAt;
     }
@@ -776,6 +787,12 @@
             note(appliance.build);
         }
         fleet.removeIf(appliance -> appliance.state == Appliance.GONE);
+        for (Build build : builds) {
+            build.room.appliances = 0;
+        }
+        for (Appliance appliance : fleet) {
+            appliance.build.room.appliances += appliance.state == Appliance.UP ? 1 : 0;
+        }
     }
 
     public void listFailed() {
@@ -806,8 +823,8 @@
         }
         if (voteDue(verdict)) {
             if (verdict != votedVerdict) {
-                line = String.format("%s: build %d, stage %d; failures %s; slowed %s; wrong %s",
-                        VERDICTS[verdict], newest.number, stage, fit, slowed, wrong);
+                line = String.format("%s: build %d, stage %d; failures %s; all %s; slowed %s; wrong %s",
+                        VERDICTS[verdict], newest.number, stage, fit, allAgents, slowed, wrong);
             }
             votedBuild = newest;
             votedStage = stage;
@@ -854,7 +871,7 @@
                 || mayRun && (rpc.method.effect == Method.NON_IDEMPOTENT || further < 1)) {
             return finish(rpc, mayRun, ctl);
         }
-        Appliance appliance = out < room ? choose(rpc) : null;
+        Appliance appliance = choose(rpc);
         if (appliance != null) {
             if (mayRun) {
                 further--;
@@ -888,7 +905,9 @@
         Pick pick = new Pick(rpc, appliance, now, isCold);
         rpc.picks.add(pick);
         rpc.out++;
-        out++;
+        appliance.build.room.out++;
+        appliance.room.out++;
+        appliance.zone.sentAt = now;
         appliance.out.addLast(pick);
         appliance.build.inFlight[rpc.method.index]++;
         appliance.build.warmInFlight[rpc.method.index] += isCold ? 0 : 1;
@@ -903,15 +922,16 @@
             sentOld = sentOld * fade + (appliance.build == fitted ? 0 : 1);
             sentNew = sentNew * fade + (appliance.build == fitted ? 1 : 0);
         }
-        ctl.pick(rpc, appliance, within(rpc));
+        ctl.pick(rpc, appliance, within(rpc, isCold || onTrial(appliance.build)));
     }
 
     /** How long a pick may take: under the deadline only where another may follow and still be in time. */
-    private long within(Rpc rpc) {
+    private long within(Rpc rpc, boolean young) {
         long left = Math.max(1, rpc.deadline - now);
         Method method = rpc.method;
         long soft = rpc.takenAt + method.softDeadline - now;
-        if (method.effect == Method.NON_IDEMPOTENT || rpc.picks.size() >= tries.most || further < 1
+        // Few and cold, the appliances of a new build are slow at first: giving up early would convict it.
+        if (young || method.effect == Method.NON_IDEMPOTENT || rpc.picks.size() >= tries.most || further < 1
                 || method.usual == 0) {
             return left;
         }
@@ -925,13 +945,8 @@
     }
 
     private static Pick firstThatMayRun(Rpc rpc) {
-        for (Pick pick : rpc.picks) {
-            if (pick.outcome != Pick.FULL && pick.outcome != Pick.CONNECT_FAILED
-                    && pick.outcome != Pick.MOOT) {
-                return pick;
-            }
-        }
-        return null;
+        return rpc.picks.stream().filter(pick -> pick.outcome != Pick.FULL && pick.outcome != Pick.MOOT
+                && pick.outcome != Pick.CONNECT_FAILED).findFirst().orElse(null);
     }
 
     /** Rules on appliances for one RPC: state, drains, effects, keys, exposure and cold starts. */
@@ -948,7 +963,7 @@
                 return false;
             }
         }
-        return exposable(appliance.build, method) && bears(appliance, rpc);
+        return free(appliance.build.room) && exposable(appliance.build, method) && bears(appliance, rpc);
     }
 
     private double sentOld;
@@ -959,16 +974,9 @@
         Build trial = trial();
         List<Appliance> old = new ArrayList<>();
         List<Appliance> fresh = new ArrayList<>();
-        int readyOld = 0;
-        int readyNew = 0;
         int latest = 0;
         for (Appliance appliance : fleet) {
-            if (appliance.state != Appliance.UP) {
-                continue;
-            }
             boolean isNew = appliance.build == trial;
-            readyNew += isNew ? 1 : 0;
-            readyOld += isNew ? 0 : 1;
             if (allowed(rpc, appliance, mayRun)) {
                 (isNew ? fresh : old).add(appliance);
                 latest = isNew ? latest : Math.max(latest, appliance.build.number);
@@ -986,16 +994,16 @@
         if (ofOld == null || ofNew == null) {
             return ofOld == null ? ofNew : ofOld;
         }
-        return !failedNew && wantsNew(rpc, readyOld, readyNew) ? ofNew : ofOld;
+        return !failedNew && wantsNew(rpc) ? ofNew : ofOld;
     }
 
     /** One draw an RPC: even until the first failure, then by theta; the earlier build's share is bounded. */
-    private boolean wantsNew(Rpc rpc, int readyOld, int readyNew) {
+    private boolean wantsNew(Rpc rpc) {
         if (!rpc.drawn) {
             rpc.drawn = true;
             rpc.drawnNew = fit.events == 0 ? chance() < 0.5 : drawTheta() > 0;
         }
-        double share = (double) readyOld / (readyOld + readyNew);
+        double share = (double) earlier() / (earlier() + fitted.room.appliances);
         return rpc.drawnNew || sentOld > share * (sentOld + sentNew);
     }
 
@@ -1003,13 +1011,15 @@
     private Appliance lighter(Rpc rpc, List<Appliance> from) {
         List<Appliance> best = new ArrayList<>();
         for (Appliance appliance : from) {
-            if (now >= appliance.awayUntil && (appliance.silent < SILENT_TO_LEAVE || appliance.out.isEmpty())
-                    && !tried(rpc, appliance)) {
+            boolean nowAndThen = now >= appliance.zone.sentAt + AWAY_USUALS * rpc.method.softDeadline;
+            if (now >= appliance.awayUntil && (nowAndThen || !away(appliance.zone))
+                    && (appliance.silent < SILENT_TO_LEAVE || appliance.out.isEmpty())
+                    && rpc.picks.stream().noneMatch(pick -> pick.appliance == appliance)) {
                 best.add(appliance);
             }
         }
         List<Appliance> among = best.isEmpty() ? from : best;
-        among.removeIf(appliance -> appliance.out.size() >= appliance.limit);
+        among.removeIf(appliance -> !free(appliance.room));
         if (among.isEmpty()) {
             return null;
         }
@@ -1018,15 +1028,6 @@
         return burden(two) < burden(one) ? two : one;
     }
 
-    private static boolean tried(Rpc rpc, Appliance appliance) {
-        for (Pick pick : rpc.picks) {
-            if (pick.appliance == appliance) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     private double burden(Appliance appliance) {
         return (appliance.out.size() + 1) * appliance.pace / warmth(appliance);
     }
--- a/src/main/java/honeygap/fleet/Appliance.java
+++ b/src/main/java/honeygap/fleet/Appliance.java
@@ -12,10 +12,8 @@
     /** For the door only. */
     public final long id;
     public Build build;
-    public int zone;
+    public Location zone;
     public int cell;
-    public int kind;
-    public double rating = 1;
     public int state = UP;
     /** When its process last started; far in the past when the list gives no time. */
     public long startedAt;
@@ -24,9 +22,7 @@
     public final ArrayDeque<Pick> out = new ArrayDeque<>();
     /** Time of its answers over what the method usually takes; 1 is as usual. */
     public double pace = 1;
-    /** How many picks it may hold of this agent, and when that was last cut. */
-    public double limit;
-    public long cutAt = Long.MIN_VALUE / 2;
+    public final Room room = new Room(1);
     /** Picks in a row that ended without a word from it. */
     public int silent;
     /** Left out of picks until then. */
@@ -34,10 +30,6 @@
     /** Work that this agent may send it while it is cold, and as of when. */
     public double credit;
     public long creditAt = Long.MIN_VALUE / 2;
-    /** Its last load report: share of its cores in use, RPCs waiting; NaN when never told. */
-    public double util = Double.NaN;
-    public double queue = Double.NaN;
-    public long reportAt = Long.MIN_VALUE / 2;
 
     public Appliance(long id) {
         this.id = id;
--- a/src/main/java/honeygap/fleet/Build.java
+++ b/src/main/java/honeygap/fleet/Build.java
@@ -23,6 +23,8 @@
     public final int[] inFlight;
     /** The part of them that went to appliances no longer cold. */
     public final int[] warmInFlight;
+    /** Room at all its appliances that are up. */
+    public final Room room = new Room(0);
     /** Times of the picks that count against the cap, oldest first, by counted method. */
     public final ArrayDeque<long[]> exposed = new ArrayDeque<>();
     /** Keys that this build has answered through this agent. */
--- /dev/null
+++ b/src/main/java/honeygap/fleet/Location.java
@@ -0,0 +1,10 @@
+package honeygap.fleet;
+
+/** Where appliances stand, and how the way there and back has been for this agent. */
+public final class Location {
+
+    /** Time of the answers from there over what they should take; 1 is as usual. */
+    public double pace = 1;
+    /** When the last pick went there. */
+    public long sentAt = Long.MIN_VALUE / 2;
+}
--- a/src/main/java/honeygap/wire/Agent.java
+++ b/src/main/java/honeygap/wire/Agent.java
@@ -5,6 +5,7 @@
 import honeygap.Rules;
 import honeygap.fleet.Appliance;
 import honeygap.fleet.Build;
+import honeygap.fleet.Location;
 import honeygap.fleet.Method;
 import honeygap.fleet.Rpc;
 import java.io.IOException;
@@ -23,6 +24,7 @@
     private final Map<String, Rpc> rpcs = new HashMap<>();
     private final Map<Long, Appliance> appliances = new HashMap<>();
     private final Map<Integer, Build> builds = new HashMap<>();
+    private final Map<Integer, Location> locations = new HashMap<>();
     private RuntimeException failure;
     private JsonGenerator out;
 
@@ -46,7 +48,9 @@
                         guards.number("FallMultiple", 1), guards.tenths("TipAfterNs", 0)),
                 new Rules.Desk(gate(family.text("GateMode", "first_voice")),
                         family.tenths("VoteStandsNs", 0), family.tenths("CallTimeoutNs", 0),
-                        family.number("VotesPerS", 1)),
+                        family.index("NoesNeeded", 1), family.number("VotesPerS", 1),
+                        family.has("TallyEveryNs") && family.whole("TallyEveryNs") > 0
+                                ? family.number("SampledShare", 0) : 0),
                 new Rules.Exposure(family.has("Caps") ? family.numbers("Caps") : new double[0],
                         family.has("Waves") ? family.numbers("Waves") : new double[0],
                         family.tenths("WindowNs", 0), family.number("Uncounted", 0),
@@ -135,17 +139,12 @@
                 break;
             case "Digest":
                 rules.counted(build(event.index("Image")), method(event), event.whole("Many"),
-                        event.whole("Bad"), event.tenths("LagNs", 0), event.tenths("LatenessNs", 0));
+                        event.whole("Bad"));
                 break;
             case "Contested":
                 rules.contested(appliance(event.whole("Appliance")), method(event),
                         event.tenths("LatenessNs", 0));
                 break;
-            case "ProbeResult":
-                Fields load = event.part("Pressure");
-                rules.probed(appliance(event.whole("Appliance")), event.index("Reason"),
-                        load.number("load_share", Double.NaN), load.number("depth", Double.NaN));
-                break;
             case "Fired":
                 rules.woken();
                 break;
@@ -163,9 +162,7 @@
         if (go >= rpc.picks.size()) {
             throw new Malformed("attempt " + go + " was never sent");
         }
-        Fields load = event.part("Pressure");
-        rules.ended(rpc, go, event.index("Reason"), event.flag("NoMore", false),
-                event.tenths("LagNs"), load.number("load_share", Double.NaN), load.number("depth", Double.NaN));
+        rules.ended(rpc, go, event.index("Reason"), event.flag("NoMore", false), event.tenths("LagNs"));
         forget(rpc);
     }
 
@@ -182,8 +179,8 @@
         rules.listBegins(!mode.equals("diff"), mode.equals("disk"));
         for (Fields entry : sheets.get(sheet)) {
             rules.listed(appliance(entry.whole("Appliance")), build(entry.rounded("Edition")),
-                    entry.index("RegionPart", 0), entry.index("Pack", 0), entry.index("Machine", 0),
-                    entry.number("Rating", 1), state(entry.text("Availability")),
+                    location(entry.index("RegionPart", 0)), entry.index("Pack", 0),
+                    state(entry.text("Availability")),
                     entry.whole("LastStartNs", 0) == 0 ? Rules.LONG_AGO : entry.tenths("LastStartNs"));
         }
         rules.listEnds();
@@ -214,6 +211,10 @@
         return appliances.computeIfAbsent(id, Appliance::new);
     }
 
+    private Location location(int index) {
+        return locations.computeIfAbsent(index, n -> new Location());
+    }
+
     private Build build(int number) {
         return builds.computeIfAbsent(number, n -> new Build(n, methods.size()));
     }
--- a/src/test/java/honeygap/Agency.java
+++ b/src/test/java/honeygap/Agency.java
@@ -2,10 +2,13 @@
 
 import honeygap.fleet.Appliance;
 import honeygap.fleet.Build;
+import honeygap.fleet.Location;
 import honeygap.fleet.Method;
 import honeygap.fleet.Rpc;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /** One agent's rules under test: a small fleet, a clock, and the decisions written down as words. */
 final class Agency implements Ctl {
@@ -14,6 +17,7 @@
 
     final List<Method> methods = new ArrayList<>();
     final List<Appliance> fleet = new ArrayList<>();
+    final Map<Integer, Location> zones = new HashMap<>();
     final List<String> said = new ArrayList<>();
     final List<Rpc> sent = new ArrayList<>();
     final Build old = new Build(1, 3);
@@ -34,7 +38,7 @@
     /** Plain: three picks, a pushed list, 20% in the only shielded stage, one-way keys. */
     static Agency plain(int gate, int scope) {
         return new Agency(new Rules.Tries(3, true, SECOND / 2), new Rules.Listing(false, 10 * SECOND),
-                new Rules.Desk(gate, 6 * SECOND, SECOND, 30),
+                new Rules.Desk(gate, 6 * SECOND, SECOND, 1, 30, 1),
                 new Rules.Exposure(new double[] {0.2, 1}, new double[] {0.2, 1}, 2 * SECOND, 1, false, 1,
                         true), scope);
     }
@@ -45,7 +49,8 @@
             return fleet.get(fleet.size() - 1);
         });
         rules.listBegins(false, false);
-        rules.listed(appliance, build, zone, cell, 0, 1, state, startedAt);
+        Location location = zones.computeIfAbsent(zone, z -> new Location());
+        rules.listed(appliance, build, location, cell, state, startedAt);
         rules.listEnds();
         return appliance;
     }
@@ -79,7 +84,7 @@
 
     void end(Rpc rpc, int outcome) {
         int index = rpc.picks.size() - 1;
-        rules.ended(rpc, index, outcome, outcome == 0, now - rpc.picks.get(index).sentAt, Double.NaN, Double.NaN);
+        rules.ended(rpc, index, outcome, outcome == 0, now - rpc.picks.get(index).sentAt);
     }
 
     /** One RPC after another, each answered at once: ok, or with this outcome on the fresh build. */
--- a/src/test/java/honeygap/FitTest.java
+++ b/src/test/java/honeygap/FitTest.java
@@ -47,10 +47,10 @@
         Rules.Fit group = new Rules.Fit(1);
         Rules.Fit single = new Rules.Fit(0);
         for (int i = 0; i < Math.max(picksOld, failedOld); i++) {
-            group.count(0, false, i < failedOld);
+            group.add(0, false, 1, i < failedOld ? 1 : 0);
         }
         for (int i = 0; i < Math.max(picksNew, failedNew); i++) {
-            group.count(0, true, i < failedNew);
+            group.add(0, true, 1, i < failedNew ? 1 : 0);
         }
         for (int i = 0; i < failedOld + failedNew; i++) {
             single.event(Math.max(picksOld, failedOld), Math.max(picksNew, failedNew), i < failedNew);
--- a/src/test/java/honeygap/RulesTest.java
+++ b/src/test/java/honeygap/RulesTest.java
@@ -88,11 +88,11 @@
 
     /** A key that the build on trial has answered goes to no earlier one while it is on trial or released. */
     @ParameterizedTest
-    @CsvSource({"0,pick2", "2,pick2", "1,pick1", "3,pick1"})
-    void oneWayKeys(int phase, String then) {
+    @CsvSource({"0,0,pick2", "0,2,pick2", "0,1,pick1", "0,3,pick1", "2,2,pick2"})
+    void oneWayKeys(int before, int phase, String then) {
         Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
         agency.warm(2, agency.fresh);
-        agency.rules.told(agency.fresh, Build.ON_TRIAL, 1, 1, false, agency.now, 0);
+        agency.rules.told(agency.fresh, before, 1, 1, false, agency.now, 0);
         Rpc first = agency.take(0, "k");
         assertEquals("pick2", agency.pull());
         agency.after(100);
@@ -224,7 +224,7 @@
     @CsvSource({"none,1,''", "none,3,watch", "fail,1,watch", "answer,9,''", "disk,3,watch"})
     void asksTheList(String what, int seconds, String then) {
         Agency agency = new Agency(new Rules.Tries(3, false, 0), new Rules.Listing(true, 10 * SECOND),
-                new Rules.Desk(0, SECOND, SECOND, 1),
+                new Rules.Desk(0, SECOND, SECOND, 1, 1, 0),
                 new Rules.Exposure(new double[0], new double[0], SECOND, 0, false, 0, false), 0);
         assertEquals("watch", agency.pull());
         if (what.equals("fail")) {
