--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -7,6 +7,7 @@
 import honeygap.fleet.Pick;
 import honeygap.fleet.Room;
 import honeygap.fleet.Rpc;
+import honeygap.fleet.Tenant;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -24,14 +25,11 @@
 
     public static final long LONG_AGO = Long.MIN_VALUE / 4;
 
-    public static final int FIRST_VOICE = 0;
-    public static final int BY_COUNT = 1;
-    public static final int AUTOMATIC = 2;
+    public static final int FIRST_VOICE = 0, BY_COUNT = 1, AUTOMATIC = 2;
 
     private static final String[] VERDICTS = {"takes its vote away", "votes on", "votes hold", "votes back"};
     private static final long SECOND = 10_000;
 
-    // The design's starting values.
     private static final double BACK_CHANCE = 0.95;
     private static final double HOLD_CHANCE = 0.8;
     private static final int FAILURES_TO_JUDGE = 3;
@@ -55,6 +53,8 @@
     private static final double FURTHER_SHARE = 0.1;
     private static final double FURTHER_MOST = 10;
     private static final double FADE = 1.0 / 32;
+    /** Share of a customer's picks that must fail at earlier builds before its failures say nothing. */
+    private static final double HOPELESS = 0.2;
     private static final double WAY_FADE = 1.0 / 8;
     private static final double RATE_FADE = 1.0 / 3;
     /** Picks an appliance may hold of this agent at first; in part while it is cold. */
@@ -130,8 +130,6 @@
         }
     }
 
-    // ------------------------------------------------------------------ what happened
-
     public void now(long now) {
         if (now != this.now) {
             this.now = now;
@@ -147,8 +145,8 @@
     public void taken(Rpc rpc) {
         further = Math.min(FURTHER_MOST, further + FURTHER_SHARE);
         takenAt.get(exposureGroup(rpc.method)).addLast(now);
+        rpc.method.work += Math.max(FADE, 1.0 / ++rpc.method.taken) * (rpc.work - rpc.method.work);
         takenWork += cost(rpc);
-        rpc.method.work += FADE * (rpc.work - rpc.method.work);
         todo.addLast(rpc);
     }
 
@@ -169,7 +167,6 @@
         rpc.out--;
         pick.build.room.out--;
         appliance.room.out--;
-        appliance.out.remove(pick);
         pick.build.inFlight[rpc.method.index]--;
         pick.build.warmInFlight[rpc.method.index] -= pick.cold ? 0 : 1;
         way(appliance.zone, rpc, outcome, lag);
@@ -213,7 +210,7 @@
 
     /**
      * Room for picks at an appliance and at all of a build, since one pick of each of hundreds of agents is a
-     * jam. It shrinks while over a share of the answers is late; under one pick there is a rest after each.
+     * jam. It shrinks while over a share of the answers is late; under one pick there are rests.
      * Guards against a jam, whatever made it: overload, a burst, slowness of one or all, a new build's few
      * appliances. Harm: what is late for other reasons: early give-ups, silence, slow ways do not count.
      */
@@ -273,8 +270,6 @@
         }
     }
 
-    // ------------------------------------------------------------------ the fit
-
     /**
      * The effect theta of one build on trial: Breslow partial likelihood over events with the risk sets o_old
      * and o_new at each, and a normal prior with mean 0 and variance 1. Newton finds the one maximum.
@@ -339,13 +334,11 @@
             return String.format("%.0f of %.0f, theta %.2f +- %.2f", ofNew, events, mode(), spread());
         }
 
-        /** The maximum of the partial likelihood with the prior. */
         double mode() {
             solve();
             return mode;
         }
 
-        /** Standard deviation of the normal around the maximum. */
         double spread() {
             solve();
             return 1 / Math.sqrt(curvature);
@@ -394,16 +387,21 @@
     private Fit slowed;
     private long slowedSince;
     private Fit wrong;
-    /** The first effect once more, from the desk's counts of all agents; when and in which groups of it. */
-    private Fit allAgents = new Fit(0);
+    /** The first effect once more for each method, by the desk's counts of all agents, and when they came. */
+    private Fit[] allAgents = {};
     private long countedAt;
-    private int counts;
 
     /** Errors, time-outs, resets and failed connections are events, the failing pick still at risk. */
     private void judge(Pick pick, int outcome) {
         boolean failed = outcome == Pick.ERROR || outcome == Pick.RESET;
         boolean slow = outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED;
-        if (fitted == null || !failed && !slow && outcome != Pick.OK) {
+        // A customer's RPCs that earlier builds fail as well are no evidence, and get no further picks: they
+        // are bad themselves. Harm: the customer's good ones get one pick, too.
+        Tenant tenant = pick.rpc.tenant;
+        if ((failed || outcome == Pick.OK) && pick.build != fitted) {
+            tenant.failing += WAY_FADE * ((failed ? 1 : 0) - tenant.failing);
+        }
+        if (fitted == null || !failed && !slow && outcome != Pick.OK || failed && tenant.failing > HOPELESS) {
             return;
         }
         // Strata by method: methods kept from the trial build, or failing by nature, say nothing of it.
@@ -431,8 +429,7 @@
     /**
      * Answers far past the usual, of all builds alike: the second effect sets those of the last seconds
      * against those before the build came. Guards against a build that slows every appliance in step with its
-     * traffic, and anything else that makes a wider stage unwise. Harm: another slowdown that begins then and
-     * lasts; a passing one only delays 'on'.
+     * traffic. Harm: another slowdown that begins then and lasts; a passing one only delays 'on'.
      */
     private void lateness(Pick pick, int outcome, long lag) {
         Method method = pick.rpc.method;
@@ -464,8 +461,6 @@
         return fit.mode() + fit.spread() * normal;
     }
 
-    // ------------------------------------------------------------------ the desk: what is told of the build
-
     private Build newest;
     private int phase = Build.RELEASED;
     private int stage;
@@ -492,6 +487,10 @@
         if (build != newest) {
             slowed.fade(0);
         }
+        if (phase == Build.RELEASED && this.phase == Build.ON_TRIAL) {
+            // The released build takes over all RPCs, and so the room of those before it.
+            builds.forEach(other -> build.room.each = Math.max(build.room.each, other.room.each));
+        }
         newest = build;
         this.phase = phase;
         this.stage = stage;
@@ -505,16 +504,24 @@
      * than this agent sees, so that hundreds of agents with few RPCs need not wait for failures of their own.
      * Failures beneath notice are added to both arms: a cold start must not convict. Harm: late.
      */
-    public void counted(Build build, Method method, long many, long bad) {
+    public void counted(Build build, Method method, long many, long bad, long mean) {
         note(build);
         if (fitted == null || agents * desk.sampledShare < SAMPLED_TO_JOIN) {
             return;
         }
         if (countedAt != now) {
             countedAt = now;
-            counts = allAgents.open(methods.size());
+            Arrays.stream(allAgents).forEach(counts -> counts.open(1));
+        }
+        // One method that fails barely moves an effect of all. The first group remembers the earlier build.
+        Fit counts = allAgents[method.index];
+        boolean isNew = build == fitted;
+        // Where even its good answers are far past the usual its few appliances are jammed: no evidence.
+        if (isNew && mean > FAR_PAST * method.usual) {
+            return;
         }
-        allAgents.add(counts + method.index, build == fitted, many, bad + BENEATH_NOTICE * many);
+        counts.add(isNew && earlier() == 0 ? 0 : counts.size - 1, isNew, many, bad + BENEATH_NOTICE * many);
+        counts.add(0, false, isNew ? 0 : many, isNew ? 0 : bad + BENEATH_NOTICE * many);
     }
 
     /** A wrong answer, reported late and now and then by mistake: an event of a third effect. */
@@ -537,12 +544,10 @@
         if (trial != null && trial != fitted) {
             fitted = trial;
             fit = new Fit(methods.size());
-            allAgents = new Fit(0);
+            allAgents = methods.stream().map(method -> new Fit(1)).toArray(Fit[]::new);
             countedAt = LONG_AGO;
             wrong = new Fit(methods.size());
-            for (Method method : methods) {
-                method.before = method.usual;
-            }
+            methods.forEach(method -> method.before = method.usual);
             places = earlier();
         }
     }
@@ -573,12 +578,13 @@
         if (newest == null || newest != fitted || phase == Build.WITHDRAWN || phase == Build.REVERTING) {
             return Build.VOTE_NONE;
         }
-        double worse = Math.max(worse(allAgents), Math.max(worse(fit), worse(wrong)));
+        double all = Arrays.stream(allAgents).mapToDouble(Rules::worse).max().orElse(0);
+        double worse = Math.max(all, Math.max(worse(fit), worse(wrong)));
         boolean lasting = now >= slowedSince + SLOWED_WAITS * ON_WAIT;
         // Where few voices are enough, all agents share the chance that one of them is wrong.
         double few = Math.min(1, (double) desk.noes * desk.noes / agents);
         boolean back = Math.max(worse(fit), worse(wrong)) > 1 - (1 - BACK_CHANCE) * few;
-        if (back || worse(allAgents) > BACK_CHANCE || lasting && worse(slowed) > BACK_CHANCE) {
+        if (back || all > BACK_CHANCE || lasting && worse(slowed) > BACK_CHANCE) {
             return Build.VOTE_BACK;
         }
         if (phase == Build.RELEASED) {
@@ -622,8 +628,6 @@
         return !same || !voteStood || now >= votedAt + desk.voteStands * 3 / 4;
     }
 
-    // ------------------------------------------------------------------ exposure
-
     private final List<ArrayDeque<Long>> takenAt = new ArrayList<>();
 
     private int exposureGroup(Method method) {
@@ -669,8 +673,6 @@
                 && (phase == Build.ON_TRIAL || phase == Build.RELEASED) && newest.keys.contains(rpc.key));
     }
 
-    // ------------------------------------------------------------------ cold appliances
-
     /** Work answered by warm appliances, for what one of them takes through this agent. */
     private double warmWork;
     private double takenWork;
@@ -692,8 +694,9 @@
         return rpc.work > rpc.method.work ? rpc.work / rpc.method.work : 1;
     }
 
+    /** By the method, not the hint: those that look light would be let through alone, and often are not. */
     private double cost(Rpc rpc) {
-        return rpc.work > 0 ? rpc.work : Math.max(rpc.method.usual, 1);
+        return Math.max(1, rpc.method.work > 0 ? rpc.method.work : rpc.method.usual);
     }
 
     private void rates() {
@@ -701,7 +704,6 @@
             return;
         }
         long warm = fleet.stream().filter(a -> a.state == Appliance.UP && warmth(a) >= 1).count();
-        // With few warm ones left, what they took before still holds.
         if (rateSince > LONG_AGO && (warm * 2 > fleet.size() || warmRate == 0)) {
             double work = warmWork > 0 ? warmWork : takenWork;
             double rate = work / (now - rateSince) / Math.max(1, fleet.size());
@@ -723,8 +725,8 @@
         if (warmth >= 1) {
             return true;
         }
-        // One pick of each agent at a time: a build that needs more work outruns the budget, but not this.
-        if (!appliance.out.isEmpty()) {
+        // One pick at a time: a build that needs more work outruns the budget, but not this.
+        if (appliance.room.out > 0) {
             return false;
         }
         double cost = cost(rpc);
@@ -737,8 +739,6 @@
         return appliance.credit >= cost;
     }
 
-    // ------------------------------------------------------------------ the list
-
     private long askedAt = LONG_AGO;
     private boolean listAnswered;
     private boolean fullList;
@@ -787,9 +787,7 @@
             note(appliance.build);
         }
         fleet.removeIf(appliance -> appliance.state == Appliance.GONE);
-        for (Build build : builds) {
-            build.room.appliances = 0;
-        }
+        builds.forEach(build -> build.room.appliances = 0);
         for (Appliance appliance : fleet) {
             appliance.build.room.appliances += appliance.state == Appliance.UP ? 1 : 0;
         }
@@ -804,8 +802,6 @@
         return listing.asked && !listAnswered && now >= askedAt + listing.askWithin / 4;
     }
 
-    // ------------------------------------------------------------------ decisions
-
     /** Makes at most one call on {@code ctl}; false when there is nothing to decide now. */
     public boolean next(Ctl ctl) {
         rates();
@@ -824,7 +820,7 @@
         if (voteDue(verdict)) {
             if (verdict != votedVerdict) {
                 line = String.format("%s: build %d, stage %d; failures %s; all %s; slowed %s; wrong %s",
-                        VERDICTS[verdict], newest.number, stage, fit, allAgents, slowed, wrong);
+                        VERDICTS[verdict], newest.number, stage, fit, List.of(allAgents), slowed, wrong);
             }
             votedBuild = newest;
             votedStage = stage;
@@ -868,7 +864,8 @@
     private boolean decide(Rpc rpc, Ctl ctl) {
         boolean mayRun = firstThatMayRun(rpc) != null;
         if (now >= rpc.deadline - 2 * tick || rpc.picks.size() >= tries.most
-                || mayRun && (rpc.method.effect == Method.NON_IDEMPOTENT || further < 1)) {
+                || mayRun && (rpc.method.effect == Method.NON_IDEMPOTENT || further < 1
+                || rpc.tenant.failing > HOPELESS)) {
             return finish(rpc, mayRun, ctl);
         }
         Appliance appliance = choose(rpc);
@@ -908,7 +905,6 @@
         appliance.build.room.out++;
         appliance.room.out++;
         appliance.zone.sentAt = now;
-        appliance.out.addLast(pick);
         appliance.build.inFlight[rpc.method.index]++;
         appliance.build.warmInFlight[rpc.method.index] += isCold ? 0 : 1;
         if (isCold) {
@@ -1013,7 +1009,7 @@
         for (Appliance appliance : from) {
             boolean nowAndThen = now >= appliance.zone.sentAt + AWAY_USUALS * rpc.method.softDeadline;
             if (now >= appliance.awayUntil && (nowAndThen || !away(appliance.zone))
-                    && (appliance.silent < SILENT_TO_LEAVE || appliance.out.isEmpty())
+                    && (appliance.silent < SILENT_TO_LEAVE || appliance.room.out == 0)
                     && rpc.picks.stream().noneMatch(pick -> pick.appliance == appliance)) {
                 best.add(appliance);
             }
@@ -1029,6 +1025,6 @@
     }
 
     private double burden(Appliance appliance) {
-        return (appliance.out.size() + 1) * appliance.pace / warmth(appliance);
+        return (appliance.room.out + 1) * appliance.pace / warmth(appliance);
     }
 }
--- a/src/main/java/honeygap/fleet/Appliance.java
+++ b/src/main/java/honeygap/fleet/Appliance.java
@@ -1,7 +1,5 @@
 package honeygap.fleet;
 
-import java.util.ArrayDeque;
-
 /** The one record of an appliance: what the list says of it and what this agent has seen. */
 public final class Appliance {
 
@@ -18,8 +16,6 @@
     /** When its process last started; far in the past when the list gives no time. */
     public long startedAt;
 
-    /** Picks now out, oldest first. */
-    public final ArrayDeque<Pick> out = new ArrayDeque<>();
     /** Time of its answers over what the method usually takes; 1 is as usual. */
     public double pace = 1;
     public final Room room = new Room(1);
--- a/src/main/java/honeygap/fleet/Method.java
+++ b/src/main/java/honeygap/fleet/Method.java
@@ -26,6 +26,7 @@
     /** The same when the build now on trial came. */
     public double before;
     public long answers;
+    public long taken;
     /** Mean hint of the work of its RPCs; 0 where there are no hints. */
     public double work;
 
--- a/src/main/java/honeygap/fleet/Rpc.java
+++ b/src/main/java/honeygap/fleet/Rpc.java
@@ -9,7 +9,7 @@
     /** For the door only. */
     public final String id;
     public final Method method;
-    public final int tenant;
+    public final Tenant tenant;
     /** May be null. */
     public final String key;
     public final long takenAt;
@@ -26,7 +26,7 @@
     public boolean drawn;
     public boolean drawnNew;
 
-    public Rpc(String id, Method method, int tenant, String key, long takenAt, long deadline, long work,
+    public Rpc(String id, Method method, Tenant tenant, String key, long takenAt, long deadline, long work,
                boolean retry) {
         this.id = id;
         this.method = method;
--- a/src/main/java/honeygap/wire/Agent.java
+++ b/src/main/java/honeygap/wire/Agent.java
@@ -8,6 +8,7 @@
 import honeygap.fleet.Location;
 import honeygap.fleet.Method;
 import honeygap.fleet.Rpc;
+import honeygap.fleet.Tenant;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
@@ -24,6 +25,7 @@
     private final Map<String, Rpc> rpcs = new HashMap<>();
     private final Map<Long, Appliance> appliances = new HashMap<>();
     private final Map<Integer, Build> builds = new HashMap<>();
+    private final Map<Integer, Tenant> tenants = new HashMap<>();
     private final Map<Integer, Location> locations = new HashMap<>();
     private RuntimeException failure;
     private JsonGenerator out;
@@ -113,7 +115,8 @@
     private void tell(long now, String name, Fields event, Map<Long, List<Fields>> sheets) throws Malformed {
         switch (name) {
             case "NewRequest":
-                Rpc rpc = new Rpc(event.text("Xid"), method(event), event.index("UserGroup", 0),
+                Rpc rpc = new Rpc(event.text("Xid"), method(event),
+                        tenants.computeIfAbsent(event.index("UserGroup", 0), n -> new Tenant()),
                         event.text("NameKey", null), now, now + event.tenths("TimeBudgetNs"),
                         event.tenths("SizeHintNs", 0), event.flag("Retry", false));
                 rpcs.put(rpc.id, rpc);
@@ -139,7 +142,7 @@
                 break;
             case "Digest":
                 rules.counted(build(event.index("Image")), method(event), event.whole("Many"),
-                        event.whole("Bad"));
+                        event.whole("Bad"), event.tenths("LagNs", 0));
                 break;
             case "Contested":
                 rules.contested(appliance(event.whole("Appliance")), method(event),
--- a/src/test/java/honeygap/Agency.java
+++ b/src/test/java/honeygap/Agency.java
@@ -5,6 +5,7 @@
 import honeygap.fleet.Location;
 import honeygap.fleet.Method;
 import honeygap.fleet.Rpc;
+import honeygap.fleet.Tenant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -24,6 +25,7 @@
     final Build fresh = new Build(2, 3);
     final Rules rules;
     long now = 100 * SECOND;
+    Tenant tenant = new Tenant();
     private int rpcs;
 
     Agency(Rules.Tries tries, Rules.Listing listing, Rules.Desk desk, Rules.Exposure exposure, int scope) {
@@ -66,7 +68,7 @@
     }
 
     Rpc take(int method, String key) {
-        Rpc rpc = new Rpc("rpc" + rpcs++, methods.get(method), 0, key, now, now + 3 * SECOND, 0, false);
+        Rpc rpc = new Rpc("rpc" + rpcs++, methods.get(method), tenant, key, now, now + 3 * SECOND, 0, false);
         rules.taken(rpc);
         return rpc;
     }
