--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -32,6 +32,8 @@
 
     private static final double BACK_CHANCE = 0.95;
     private static final double HOLD_CHANCE = 0.8;
+    /** The desk's counts must be surer: picks that jam together are no independent events. */
+    private static final double COUNTED_CHANCE = 0.98;
     private static final int FAILURES_TO_JUDGE = 3;
     /** A trial build may fail this many times as much, since it carries more than its machines' share. */
     private static final double TOLERATED = 2;
@@ -178,9 +180,7 @@
         } else if (outcome != Pick.CANCELLED && outcome != Pick.MOOT) {
             appliance.silent = 0;
         }
-        if (closed) {
-            rpc.closed = true;
-        }
+        rpc.closed |= closed;
         if (!rpc.closed && rpc.out == 0) {
             todo.addLast(rpc);
         }
@@ -203,9 +203,7 @@
             method.answers++;
             method.usual += Math.max(FADE, 1.0 / method.answers) * (lag - method.usual);
         }
-        if (!pick.cold) {
-            warmWork += cost(pick.rpc);
-        }
+        warmWork += pick.cold ? 0 : cost(pick.rpc);
     }
 
     /**
@@ -446,8 +444,8 @@
     }
 
     private boolean during() {
-        return fitted != null && (fitted == trial() || fitted == newest && phase == Build.RELEASED
-                && now < stageSince + SLOWED_WAITS * ON_WAIT);
+        boolean justReleased = phase == Build.RELEASED && now < stageSince + SLOWED_WAITS * ON_WAIT;
+        return fitted != null && (fitted == trial() || fitted == newest && justReleased);
     }
 
     private double chance() {
@@ -487,10 +485,6 @@
         if (build != newest) {
             slowed.fade(0);
         }
-        if (phase == Build.RELEASED && this.phase == Build.ON_TRIAL) {
-            // The released build takes over all RPCs, and so the room of those before it.
-            builds.forEach(other -> build.room.each = Math.max(build.room.each, other.room.each));
-        }
         newest = build;
         this.phase = phase;
         this.stage = stage;
@@ -517,7 +511,7 @@
         Fit counts = allAgents[method.index];
         boolean isNew = build == fitted;
         // Where even its good answers are far past the usual its few appliances are jammed: no evidence.
-        if (isNew && mean > FAR_PAST * method.usual) {
+        if (isNew && method.usual > 0 && mean > FAR_PAST * method.usual) {
             return;
         }
         counts.add(isNew && earlier() == 0 ? 0 : counts.size - 1, isNew, many, bad + BENEATH_NOTICE * many);
@@ -535,7 +529,6 @@
     private void note(Build build) {
         if (!builds.contains(build)) {
             builds.add(build);
-            build.room.least = ROOM_LEAST * LIMIT_START / agents;
             double start = warmRate > 0 ? TRIAL_START * warmRate : LIMIT_START;
             build.room.each = Math.min(LIMIT_START / agents, start);
             builds.sort((a, b) -> Integer.compare(a.number, b.number));
@@ -584,7 +577,7 @@
         // Where few voices are enough, all agents share the chance that one of them is wrong.
         double few = Math.min(1, (double) desk.noes * desk.noes / agents);
         boolean back = Math.max(worse(fit), worse(wrong)) > 1 - (1 - BACK_CHANCE) * few;
-        if (back || all > BACK_CHANCE || lasting && worse(slowed) > BACK_CHANCE) {
+        if (back || all > COUNTED_CHANCE || lasting && worse(slowed) > BACK_CHANCE) {
             return Build.VOTE_BACK;
         }
         if (phase == Build.RELEASED) {
@@ -791,6 +784,13 @@
         for (Appliance appliance : fleet) {
             appliance.build.room.appliances += appliance.state == Appliance.UP ? 1 : 0;
         }
+        for (Build build : builds) {
+            // Two picks an agent, or light agents would block themselves, unless all together are too many.
+            double two = 2 * agents / LIMIT_START / Math.max(1, build.room.appliances);
+            two = onTrial(build) ? ROOM_LEAST : Math.max(ROOM_LEAST, Math.min(2, two));
+            build.room.least = two * LIMIT_START / agents;
+            build.room.each = Math.max(build.room.least, build.room.each);
+        }
     }
 
     public void listFailed() {
--- a/src/test/java/honeygap/Agency.java
+++ b/src/test/java/honeygap/Agency.java
@@ -28,18 +28,23 @@
     Tenant tenant = new Tenant();
     private int rpcs;
 
-    Agency(Rules.Tries tries, Rules.Listing listing, Rules.Desk desk, Rules.Exposure exposure, int scope) {
+    Agency(long seed, int agents, Rules.Tries tries, Rules.Listing listing, Rules.Desk desk, Rules.Exposure exposure, int scope) {
         for (int effect = 0; effect < 3; effect++) {
             methods.add(new Method(effect, effect, scope, 2 * SECOND, SECOND, 3 * SECOND, 1, 0));
         }
-        rules = new Rules(now, 7, 2, 50, methods, tries, listing,
+        rules = new Rules(now, seed, agents, 50, methods, tries, listing,
                 new Rules.Cold(0.4, 4 * SECOND, 2.5, SECOND), desk, exposure);
         rules.told(old, Build.RELEASED, 0, 1, false, now, 0);
     }
 
     /** Plain: three picks, a pushed list, 20% in the only shielded stage, one-way keys. */
     static Agency plain(int gate, int scope) {
-        return new Agency(new Rules.Tries(3, true, SECOND / 2), new Rules.Listing(false, 10 * SECOND),
+        return one(7, 2, gate, scope);
+    }
+
+    /** One of so many agents, each with a seed of its own. */
+    static Agency one(long seed, int agents, int gate, int scope) {
+        return new Agency(seed, agents, new Rules.Tries(3, true, SECOND / 2), new Rules.Listing(false, 10 * SECOND),
                 new Rules.Desk(gate, 6 * SECOND, SECOND, 1, 30, 1),
                 new Rules.Exposure(new double[] {0.2, 1}, new double[] {0.2, 1}, 2 * SECOND, 1, false, 1,
                         true), scope);
@@ -89,6 +94,20 @@
         rules.ended(rpc, index, outcome, outcome == 0, now - rpc.picks.get(index).sentAt);
     }
 
+    /** One RPC after another, each answered after this time. */
+    void answer(int times, long lag, int zone, long zoneLag) {
+        for (int i = 0; i < times; i++) {
+            after(200);
+            Rpc rpc = take(0, null);
+            pull();
+            if (rpc.out > 0) {
+                boolean there = rpc.picks.get(0).appliance.zone == zones.get(zone);
+                after(there ? zoneLag : lag);
+                end(rpc, 0);
+            }
+        }
+    }
+
     /** One RPC after another, each answered at once: ok, or with this outcome on the fresh build. */
     void serve(int times, int method, int outcomeOnFresh) {
         for (int i = 0; i < times; i++) {
--- a/src/test/java/honeygap/RulesTest.java
+++ b/src/test/java/honeygap/RulesTest.java
@@ -223,7 +223,7 @@
     @ParameterizedTest
     @CsvSource({"none,1,''", "none,3,watch", "fail,1,watch", "answer,9,''", "disk,3,watch"})
     void asksTheList(String what, int seconds, String then) {
-        Agency agency = new Agency(new Rules.Tries(3, false, 0), new Rules.Listing(true, 10 * SECOND),
+        Agency agency = new Agency(7, 2, new Rules.Tries(3, false, 0), new Rules.Listing(true, 10 * SECOND),
                 new Rules.Desk(0, SECOND, SECOND, 1, 1, 0),
                 new Rules.Exposure(new double[0], new double[0], SECOND, 0, false, 0, false), 0);
         assertEquals("watch", agency.pull());
@@ -235,4 +235,96 @@
         }
         assertEquals(then, agency.after(seconds * SECOND).pull());
     }
+
+    /** All agents that hear of a start at the same moment do not each send a pick at once. */
+    @ParameterizedTest
+    @CsvSource({"3", "150"})
+    void agentsSpreadOverColdAppliance(int agents) {
+        int picks = 0;
+        for (int seed = 0; seed < agents; seed++) {
+            Agency agency = Agency.one(seed, agents, Rules.FIRST_VOICE, 0);
+            agency.warm(1, agency.old);
+            agency.serve(20, 0, Pick.OK);
+            agency.list(1, agency.old, 0, 0, Appliance.UP, agency.now);
+            agency.after(50);
+            agency.take(0, null);
+            picks += agency.pull().contains("pick1") ? 1 : 0;
+        }
+        assertTrue(picks <= 1 + agents / 10, picks + " picks at once");
+    }
+
+    /** Answers later than half of the soft deadline shrink the room of an agent, timely ones do not. */
+    @ParameterizedTest
+    @CsvSource({"0.1,true", "0.9,false"})
+    void lateAnswersShrinkRoom(double seconds, boolean wide) {
+        Agency agency = Agency.one(7, 10, Rules.FIRST_VOICE, 0);
+        for (int id = 1; id < 9; id++) {
+            agency.warm(id, agency.old);
+        }
+        agency.answer(40, (long) (seconds * SECOND), 0, (long) (seconds * SECOND));
+        agency.after(20 * SECOND);
+        for (int i = 0; i < 5; i++) {
+            agency.take(0, null);
+        }
+        assertEquals(wide, agency.pull().split("pick").length == 6, agency.said + "");
+    }
+
+    /** The desk's counts of all agents convict by method; a jammed build's, and few failures, do not. */
+    @ParameterizedTest
+    @CsvSource({"20,0.1,true", "20,9,false", "0,0.1,false", "1,0.1,false"})
+    void deskCounts(int bad, double seconds, boolean back) {
+        Agency agency = Agency.plain(Rules.BY_COUNT, 0);
+        agency.warm(1, agency.old);
+        agency.answer(10, 1000, 0, 1000);
+        agency.rules.told(agency.fresh, Build.ON_TRIAL, 1, 1, false, agency.now, 0);
+        agency.warm(2, agency.fresh);
+        for (int i = 0; i < 3; i++) {
+            agency.after(2 * SECOND);
+            agency.rules.counted(agency.old, agency.methods.get(1), 100, 0, 1000);
+            agency.rules.counted(agency.fresh, agency.methods.get(1), 40, bad, (long) (seconds * SECOND));
+        }
+        assertEquals(back, agency.after(SECOND).pull().contains("vote3"));
+    }
+
+    /** RPCs of a customer that fail at earlier builds as well get one pick, others a further one. */
+    @ParameterizedTest
+    @CsvSource({"0,2", "10,1"})
+    void badRequestsGetOnePick(int before, int picks) {
+        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        agency.warm(1, agency.old);
+        agency.warm(2, agency.old);
+        for (int i = 0; i <= before; i++) {
+            agency.after(SECOND);
+            Rpc rpc = agency.take(0, null);
+            agency.pull();
+            agency.end(rpc, Pick.ERROR);
+            agency.pull();
+            if (i == before) {
+                assertEquals(picks, rpc.picks.size());
+            } else if (!rpc.closed) {
+                agency.end(rpc, Pick.ERROR);
+                agency.pull();
+            }
+        }
+    }
+
+    /** A location whose answers take far longer than the other's gets single picks only. */
+    @ParameterizedTest
+    @CsvSource({"500,true", "4000,false"})
+    void slowLocationIsLeftOut(int lag, boolean used) {
+        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        agency.list(1, agency.old, 0, 0, Appliance.UP, Rules.LONG_AGO);
+        agency.list(2, agency.old, 1, 1, Appliance.UP, Rules.LONG_AGO);
+        agency.answer(20, 500, 1, 500);
+        agency.answer(20, 500, 1, lag);
+        int there = 0;
+        for (int i = 0; i < 20; i++) {
+            agency.after(300);
+            Rpc rpc = agency.take(0, null);
+            there += agency.pull().contains("pick2") ? 1 : 0;
+            agency.after(100);
+            agency.end(rpc, Pick.OK);
+        }
+        assertEquals(used, there > 2, there + " picks");
+    }
 }
