--- a/src/main/java/honeygap/cli/Main.java
+++ b/src/main/java/honeygap/cli/Main.java
@@ -1,54 +1,51 @@
 package honeygap.cli;
 
-import honeygap.wire.WireHost;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintStream;
+import java.io.PrintWriter;
 import java.util.Properties;
+import picocli.CommandLine;
 
 /** The command line: one subcommand for each way of running honeygap. */
-public final class Main {
+@CommandLine.Command(name = "honeygap", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+        synopsisSubcommandLabel = "<subcommand>", description = "A proxy that tries out new builds on live traffic.",
+        subcommands = {Serve.class, VersionCommand.class})
+public final class Main implements Runnable {
 
-    private static final String USAGE = """
-            usage: java -jar honeygap.jar <subcommand>
-
-            subcommands:
-              wirehost    host agents on the simulator's wire (standard input and output)
-
-            options:
-              --help      print this text
-              --version   print the version
-            """;
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
 
     private Main() {
     }
 
-    public static void main(String[] args) throws IOException {
+    public static void main(String[] args) {
         System.exit(run(args, System.in, System.out, System.err));
     }
 
-    static int run(String[] args, InputStream in, PrintStream out, PrintStream err) throws IOException {
-        String first = args.length == 1 ? args[0] : "";
-        switch (first) {
-            case "wirehost":
-                return new WireHost(in, out, err).run();
-            case "--help":
-                out.print(USAGE);
-                return 0;
-            case "--version":
-                out.println("honeygap " + version());
-                return 0;
-            default:
-                err.print(USAGE);
-                return 2;
-        }
+    static int run(String[] args, InputStream in, PrintStream out, PrintStream err) {
+        return new CommandLine(new Main())
+                .addSubcommand(new Wirehost(in, out, err))
+                .setOut(new PrintWriter(out, true))
+                .setErr(new PrintWriter(err, true))
+                .execute(args);
     }
 
-    private static String version() throws IOException {
-        Properties properties = new Properties();
-        try (InputStream in = Main.class.getResourceAsStream("/honeygap.properties")) {
-            properties.load(in);
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "a subcommand is missing");
+    }
+
+    /** The version that the build gave it. */
+    static final class Version implements CommandLine.IVersionProvider {
+
+        @Override
+        public String[] getVersion() throws IOException {
+            Properties properties = new Properties();
+            try (InputStream in = Main.class.getResourceAsStream("/honeygap.properties")) {
+                properties.load(in);
+            }
+            return new String[] {"honeygap " + properties.getProperty("version")};
         }
-        return properties.getProperty("version");
     }
 }
--- a/src/main/java/honeygap/fleet/Appliance.java
+++ b/src/main/java/honeygap/fleet/Appliance.java
@@ -1,7 +1,7 @@
 package honeygap.fleet;
 
 /** The one record of an appliance: what the list says of it and what this agent has seen. */
-public final class Appliance {
+public class Appliance {
 
     public static final int UP = 0;
     public static final int DRAINING = 1;
--- a/src/main/java/honeygap/fleet/Rpc.java
+++ b/src/main/java/honeygap/fleet/Rpc.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /** One RPC taken from a client. */
-public final class Rpc {
+public class Rpc {
 
     /** For the door only. */
     public final String id;
--- /dev/null
+++ b/src/main/java/honeygap/net/Agent.java
@@ -0,0 +1,186 @@
+package honeygap.net;
+
+import honeygap.Ctl;
+import honeygap.Rules;
+import honeygap.fleet.Appliance;
+import honeygap.fleet.Build;
+import honeygap.fleet.Method;
+import honeygap.fleet.Rpc;
+import honeygap.net.appliances.Links;
+import honeygap.net.appliances.Remote;
+import honeygap.net.clients.Call;
+import honeygap.net.clients.Clients;
+import honeygap.net.desk.Ballots;
+import honeygap.net.desk.Bulletin;
+import honeygap.net.desk.News;
+import honeygap.net.list.Registry;
+import honeygap.read.Deployment;
+import honeygap.read.Fields;
+import honeygap.read.Malformed;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.IntFunction;
+import org.tinylog.Logger;
+
+/** One agent on sockets: its rules, and the peers by which they hear and act. */
+public final class Agent implements Ctl, Loop.Core {
+
+    /** Descriptors kept back for the list, the desk and what the runtime itself holds. */
+    private static final int RESERVE = 64;
+    /** How often the counters go to the log. */
+    private static final long REPORT = 100_000;
+    /** New clients may come for so long after the order to end, and what is open is answered. */
+    private static final long LEAVING_AFTER = 7_000;
+    private static final long ENDING_AFTER = 14_000;
+
+    private final Loop loop;
+    private final Rules rules;
+    private final Clients clients;
+    private final Links links;
+    private final Registry registry;
+    private final Ballots ballots;
+    private final Bulletin bulletin;
+    private final InetSocketAddress listen;
+    private final int most;
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private final Map<Integer, Build> builds = new HashMap<>();
+    private long now;
+    private long turns;
+
+    public Agent(Loop loop, Fields told) throws Malformed {
+        this.loop = loop;
+        Fields info = told.object("settings");
+        Fields desk = told.object("rollouts");
+        List<Method> methods = Deployment.methods(info);
+        long seed;
+        try {
+            seed = Long.parseUnsignedLong(told.text("seed"), 16);
+        } catch (NumberFormatException e) {
+            throw new Malformed("field seed is not a number in hexadecimal");
+        }
+        listen = Registry.address(told.text("listen"));
+        // A client's connection may need one to an appliance.
+        most = Math.max(2, told.part("limits").index("sockets", 1024) - RESERVE) / 2;
+        rules = Deployment.rules(loop.clock(), seed, methods, info);
+        Map<String, Method> names = new HashMap<>();
+        int at = 0;
+        for (Fields method : info.objects("Classes")) {
+            names.put(method.text("Name"), methods.get(at++));
+        }
+        IntFunction<Build> build = number -> builds.computeIfAbsent(number, n -> new Build(n, methods.size()));
+        clients = new Clients(loop, rules, names, info, most);
+        links = new Links(loop, rules, info, most);
+        registry = new Registry(loop, rules, links, build, Registry.address(told.text("discovery")),
+                told.text("discovery"), info);
+        News news = new News(loop, rules, build, names);
+        InetSocketAddress deskAddress = Registry.address(desk.text("address"));
+        long callTimeout = info.part("FamilyInfo").tenths("CallTimeoutNs", 20_000);
+        ballots = new Ballots(loop, rules, news, deskAddress, desk.text("address"), callTimeout);
+        java.util.Random spread = new java.util.Random(seed);
+        bulletin = new Bulletin(loop, news, deskAddress, desk.text("address"), Math.max(callTimeout, 30_000),
+                spread::nextDouble);
+        if (told.has("known")) {
+            registry.known(told.object("known"));
+        }
+        if (desk.has("news")) {
+            loop.gather(news.first(desk.object("news")));
+        }
+    }
+
+    /** Starts to serve. */
+    public void start() throws IOException {
+        loop.gather(bulletin::listen);
+        loop.gather(this::report);
+        loop.start(this);
+        loop.listen(listen, 2 * most, clients::comer);
+    }
+
+    private void report() {
+        Logger.info("turns {}, faults {}; {}; {}; {}; {}; {}", turns, Loop.faults(), clients, links, registry,
+                ballots, bulletin);
+        loop.at(loop.now() + REPORT, this::report);
+    }
+
+    /** Serves on until nothing that was taken is open; comes back then. */
+    public void leave() throws InterruptedException {
+        loop.post(() -> {
+            long since = loop.now();
+            loop.at(since + LEAVING_AFTER, clients::leave);
+            loop.at(since + ENDING_AFTER, this::endWhenDone);
+        });
+        ended.await();
+    }
+
+    private void endWhenDone() {
+        if (clients.count() == 0) {
+            ended.countDown();
+        } else {
+            loop.at(loop.now() + 100, this::endWhenDone);
+        }
+    }
+
+    @Override
+    public void now(long now) {
+        turns++;
+        rules.now(now);
+    }
+
+    @Override
+    public boolean next() {
+        return rules.next(this);
+    }
+
+    @Override
+    public void pick(Rpc rpc, Appliance appliance, long within) {
+        links.pick((Call) rpc, (Remote) appliance, within);
+    }
+
+    @Override
+    public void pushBack(Rpc rpc, long stayAway) {
+        ((Call) rpc).pushBack((stayAway + 9) / 10);
+    }
+
+    @Override
+    public void abort(Rpc rpc) {
+        ((Call) rpc).abort();
+    }
+
+    @Override
+    public void cancel(Rpc rpc, int pick) {
+        links.cancel((Call) rpc, pick);
+    }
+
+    @Override
+    public void probe(Appliance appliance) {
+        Logger.debug("no probes yet");
+    }
+
+    @Override
+    public void vote(Build build, int stage, int verdict) {
+        ballots.vote(build, stage, verdict);
+    }
+
+    @Override
+    public void watch() {
+        registry.watch();
+    }
+
+    @Override
+    public void fetch() {
+        registry.fetch();
+    }
+
+    @Override
+    public void wake(long delay) {
+        loop.at(loop.now() + delay, rules::woken);
+    }
+
+    @Override
+    public void note(String line) {
+        Logger.info(line);
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/net/Door.java
@@ -0,0 +1,64 @@
+package honeygap.net;
+
+import java.nio.ByteBuffer;
+import java.util.function.Supplier;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.session.AttributeKey;
+import org.apache.mina.core.session.IoSession;
+
+/** Hands what MINA reports of a session to the peer at its end. */
+final class Door extends IoHandlerAdapter {
+
+    static final AttributeKey PEER = new AttributeKey(Door.class, "peer");
+
+    private final Supplier<Peer> comers;
+
+    /** Sessions that come without a peer get one from here. */
+    Door(Supplier<Peer> comers) {
+        this.comers = comers;
+    }
+
+    private static Peer peer(IoSession session) {
+        return (Peer) session.getAttribute(PEER);
+    }
+
+    @Override
+    public void sessionCreated(IoSession session) {
+        if (peer(session) == null) {
+            session.setAttribute(PEER, comers.get());
+        }
+    }
+
+    @Override
+    public void sessionOpened(IoSession session) {
+        peer(session).opened(session);
+    }
+
+    @Override
+    public void messageReceived(IoSession session, Object message) {
+        ByteBuffer bytes = ((IoBuffer) message).buf();
+        peer(session).received(bytes);
+    }
+
+    @Override
+    public void messageSent(IoSession session, Object message) {
+        peer(session).written();
+    }
+
+    @Override
+    public void sessionClosed(IoSession session) {
+        Peer peer = peer(session);
+        if (peer != null) {
+            peer.closed();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(IoSession session, Throwable cause) {
+        if (!(cause instanceof java.io.IOException)) {
+            Loop.fault(cause);
+        }
+        session.closeNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/net/Loop.java
@@ -0,0 +1,274 @@
+package honeygap.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executor;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.service.SimpleIoProcessorPool;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.SocketSessionConfig;
+import org.apache.mina.transport.socket.nio.NioSession;
+import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
+import org.apache.mina.transport.socket.nio.NioSocketConnector;
+import org.apache.mina.util.ExceptionMonitor;
+import org.tinylog.Logger;
+
+/**
+ * The one thread that owns all state. What comes in is gathered; each turn tells it in one go, pulls the
+ * decisions dry and carries them out. As MINA's executor it also runs the processor of the sockets, whose
+ * thread would end with the last session: timers go on then in the loop itself.
+ */
+public final class Loop implements Executor, Runnable {
+
+    /** What the loop turns for: is told the time, and makes one decision at a time until there is none. */
+    public interface Core {
+
+        void now(long now);
+
+        boolean next();
+    }
+
+    /** Something to be done at a time, unless called off. */
+    public static final class Timer implements Comparable<Timer> {
+
+        private final long at;
+        private final long number;
+        private Runnable task;
+
+        private Timer(long at, long number, Runnable task) {
+            this.at = at;
+            this.number = number;
+            this.task = task;
+        }
+
+        public void callOff() {
+            task = null;
+        }
+
+        @Override
+        public int compareTo(Timer other) {
+            return at != other.at ? Long.compare(at, other.at) : Long.compare(number, other.number);
+        }
+    }
+
+    /** Faults caught since the start: each is logged, none ends the loop. */
+    private static final AtomicLong FAULTS = new AtomicLong();
+
+    private static final long TENTHS_A_MS = 10;
+    private static final long IDLE_WAIT_MS = 1000;
+    private static final int READ_AT_FIRST = 4096;
+    private static final int READ_MOST = 65536;
+
+    private final LinkedBlockingQueue<Runnable> processors = new LinkedBlockingQueue<>();
+    private final Queue<Runnable> posted = new ConcurrentLinkedQueue<>();
+    private final ArrayDeque<Runnable> gathered = new ArrayDeque<>();
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+    private final SimpleIoProcessorPool<NioSession> pool;
+    private final NioSocketConnector connector;
+    private NioSocketAcceptor acceptor;
+    private final long zero = System.nanoTime();
+    private long timerCount;
+    private long now;
+    private Core core;
+    private volatile Thread thread;
+    private volatile boolean over;
+    Turns turns;
+
+    public Loop() {
+        ExceptionMonitor.setInstance(new ExceptionMonitor() {
+            @Override
+            public void exceptionCaught(Throwable cause) {
+                fault(cause);
+            }
+        });
+        pool = new SimpleIoProcessorPool<>(Turns.class, this, 1, null);
+        connector = new NioSocketConnector(this::onOwnThread, pool);
+        connector.setHandler(new Door(null));
+        configure(connector.getSessionConfig());
+    }
+
+    private static void configure(SocketSessionConfig session) {
+        session.setTcpNoDelay(true);
+        session.setReadBufferSize(READ_AT_FIRST);
+        session.setMaxReadBufferSize(READ_MOST);
+    }
+
+    /** Accepting and connecting wait on threads of their own, which hand each session over. */
+    private void onOwnThread(Runnable task) {
+        Thread helper = new Thread(null, task, "connections", 1 << 17);
+        helper.setDaemon(true);
+        helper.start();
+    }
+
+    public static void fault(Throwable cause) {
+        if (FAULTS.incrementAndGet() <= 100) {
+            Logger.error(cause, "a fault, answered and gone on");
+        }
+    }
+
+    public static long faults() {
+        return FAULTS.get();
+    }
+
+    /** Tenths of a millisecond since the loop was made. */
+    public long clock() {
+        return (System.nanoTime() - zero) / 100_000;
+    }
+
+    /** The time of this turn. */
+    public long now() {
+        return now;
+    }
+
+    public void start(Core core) {
+        this.core = core;
+        Thread started = new Thread(this, "loop");
+        started.start();
+    }
+
+    public void listen(InetSocketAddress address, int backlog, Supplier<Peer> comers) throws IOException {
+        acceptor = new NioSocketAcceptor(this::onOwnThread, pool);
+        acceptor.setHandler(new Door(comers));
+        acceptor.setReuseAddress(true);
+        acceptor.setBacklog(backlog);
+        configure(acceptor.getSessionConfig());
+        acceptor.bind(address);
+    }
+
+    /** Opens a connection; the peer hears whether it came up. Whoever gives up cancels what is returned. */
+    public ConnectFuture connect(InetSocketAddress address, Peer peer) {
+        ConnectFuture future = connector.connect(address,
+                (session, connecting) -> session.setAttribute(Door.PEER, peer));
+        future.addListener(done -> {
+            if (!((ConnectFuture) done).isConnected()) {
+                post(peer::unreachable);
+            }
+        });
+        return future;
+    }
+
+    /** Ends the sending at once, so that a pick given up is over before the next one goes out. */
+    public void cut(IoSession session) {
+        if (session.getAttribute(Turns.CHANNEL) instanceof SocketChannel channel) {
+            try {
+                channel.shutdownOutput();
+            } catch (IOException e) {
+                Logger.debug(e, "already closed");
+            }
+        }
+        session.closeNow();
+    }
+
+    /** From any thread: to be done in the next turn. */
+    public void post(Runnable task) {
+        posted.add(task);
+        if (!isCurrent()) {
+            processors.offer(() -> { });
+            turns.wake();
+        }
+    }
+
+    /** Something that came in, to be told in this or the next turn. */
+    public void gather(Runnable told) {
+        gathered.add(told);
+    }
+
+    public Timer at(long time, Runnable task) {
+        Timer timer = new Timer(time, timerCount++, task);
+        timers.add(timer);
+        return timer;
+    }
+
+    boolean isCurrent() {
+        return Thread.currentThread() == thread;
+    }
+
+    @Override
+    public void execute(Runnable processor) {
+        processors.add(processor);
+    }
+
+    public void end() {
+        over = true;
+        post(() -> { });
+    }
+
+    @Override
+    public void run() {
+        thread = Thread.currentThread();
+        while (!over) {
+            try {
+                turn();
+                Runnable processor = processors.poll(Math.max(0, untilDue()), TimeUnit.MILLISECONDS);
+                if (processor != null) {
+                    processor.run();
+                }
+            } catch (InterruptedException | RuntimeException e) {
+                fault(e);
+            }
+        }
+    }
+
+    /** One turn: tells all that was gathered, pulls the decisions dry. */
+    void turn() {
+        now = clock();
+        guarded(() -> core.now(now));
+        boolean more = true;
+        while (more) {
+            for (Runnable task = posted.poll(); task != null; task = posted.poll()) {
+                guarded(task);
+            }
+            while (!timers.isEmpty() && (timers.peek().task == null || timers.peek().at <= now)) {
+                Runnable task = timers.poll().task;
+                if (task != null) {
+                    guarded(task);
+                }
+            }
+            for (Runnable told = gathered.poll(); told != null; told = gathered.poll()) {
+                guarded(told);
+            }
+            decide();
+            more = !gathered.isEmpty() || !posted.isEmpty();
+        }
+    }
+
+    private void decide() {
+        try {
+            boolean more = true;
+            while (more) {
+                more = core.next();
+            }
+        } catch (RuntimeException | StackOverflowError | AssertionError e) {
+            fault(e);
+        }
+    }
+
+    private static void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | StackOverflowError | AssertionError e) {
+            fault(e);
+        }
+    }
+
+    /** Milliseconds until the next timer, rounded up. */
+    long untilDue() {
+        while (!timers.isEmpty() && timers.peek().task == null) {
+            timers.poll();
+        }
+        if (timers.isEmpty()) {
+            return IDLE_WAIT_MS;
+        }
+        long left = timers.peek().at - clock();
+        return Math.min(IDLE_WAIT_MS, left <= 0 ? 0 : (left + TENTHS_A_MS - 1) / TENTHS_A_MS);
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/net/appliances/Link.java
@@ -0,0 +1,230 @@
+package honeygap.net.appliances;
+
+import honeygap.fleet.Pick;
+import honeygap.net.Gathered;
+import honeygap.net.Loop;
+import honeygap.net.Peer;
+import honeygap.net.clients.Call;
+import honeygap.net.pg.Frames;
+import honeygap.net.pg.Words;
+import honeygap.read.Malformed;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.session.IoSession;
+
+/**
+ * A connection to an appliance, with at most one pick on it. A pick whose last byte has been handed over may
+ * have run, whatever comes after; one that has not never ran.
+ */
+final class Link implements Peer {
+
+    private static final int LONGEST = 65536 + 4096;
+
+    private final Links all;
+    private final Remote remote;
+    private final Frames frames = new Frames(LONGEST);
+    private ConnectFuture connecting;
+    private IoSession session;
+    private Loop.Timer timer;
+    private boolean ready;
+    private boolean over;
+
+    private Call call;
+    private int index;
+    private long upTo;
+    private boolean handedOver;
+    /** Slices of the answer as it comes: description, row, completion. */
+    private final List<ByteBuffer> answer = new ArrayList<>(3);
+    private boolean rowSeen;
+
+    Link(Links all, Remote remote) {
+        this.all = all;
+        this.remote = remote;
+    }
+
+    Remote remote() {
+        return remote;
+    }
+
+    void connect(Loop loop, long within) {
+        timer = loop.at(loop.now() + within, this::late);
+        connecting = loop.connect(remote.address, this);
+    }
+
+    /** Takes a pick on, to be sent as soon as the connection is ready. */
+    void carry(Call call, int index, long within) {
+        this.call = call;
+        this.index = index;
+        upTo = all.loop.now() + within;
+        handedOver = false;
+        if (ready) {
+            send();
+        }
+    }
+
+    private void send() {
+        if (timer != null) {
+            timer.callOff();
+        }
+        timer = all.loop.at(upTo, this::late);
+        answer.clear();
+        rowSeen = false;
+        long left = Math.max(1, (upTo - all.loop.clock()) / 10);
+        session.write(new Gathered(Words.query(call.before(), left, call.after())));
+    }
+
+    @Override
+    public void opened(IoSession session) {
+        this.session = session;
+        if (over) {
+            session.closeNow();
+        } else {
+            session.write(new Gathered(Words.startup()));
+        }
+    }
+
+    @Override
+    public void unreachable() {
+        end(Pick.CONNECT_FAILED);
+    }
+
+    @Override
+    public void written() {
+        handedOver |= ready && call != null;
+    }
+
+    @Override
+    public void closed() {
+        end(handedOver ? Pick.RESET : Pick.CONNECT_FAILED);
+    }
+
+    private void late() {
+        end(handedOver ? Pick.TIMEOUT : Pick.CONNECT_FAILED);
+    }
+
+    /** Stops waiting for the pick on it. */
+    void cancel(Call call, int index) {
+        if (this.call == call && this.index == index) {
+            end(Pick.CANCELLED);
+        }
+    }
+
+    @Override
+    public void received(ByteBuffer bytes) {
+        if (over) {
+            return;
+        }
+        frames.feed(bytes);
+        try {
+            while (!over && frames.next()) {
+                message();
+            }
+        } catch (Malformed e) {
+            all.unreadable();
+            end(handedOver ? Pick.RESET : Pick.CONNECT_FAILED);
+        }
+    }
+
+    private void message() throws Malformed {
+        switch (frames.type()) {
+            case 'T':
+                answer.add(frames.whole());
+                break;
+            case 'D':
+                rowSeen = true;
+                answer.add(frames.whole());
+                break;
+            case 'C':
+                answer.add(frames.whole());
+                answered();
+                break;
+            case 'E':
+                refused(Words.field(frames.body(), 'C'));
+                break;
+            case 'Z':
+                idle();
+                break;
+            case 'I':
+            case 'N':
+            case 'S':
+            case 'K':
+            case 'R':
+                break;
+            default:
+                throw new Malformed("an unknown message");
+        }
+        if (answer.size() > 3) {
+            throw new Malformed("more than one row");
+        }
+    }
+
+    private void answered() throws Malformed {
+        if (call == null || !handedOver || !rowSeen || answer.size() != 3) {
+            throw new Malformed("no whole row");
+        }
+        Call done = finish(Pick.OK);
+        done.answer(answer.toArray(new ByteBuffer[0]));
+        answer.clear();
+    }
+
+    private void refused(String code) {
+        int outcome = code.equals(Words.TOO_MANY) ? Pick.FULL
+                : handedOver ? Pick.ERROR : Pick.CONNECT_FAILED;
+        if (call == null || !ready) {
+            end(outcome);
+        } else {
+            finish(outcome);
+        }
+    }
+
+    /** Ready for a pick: the first, or the next. */
+    private void idle() {
+        if (call != null && ready) {
+            // Ready again without an answer to what was asked.
+            end(handedOver ? Pick.ERROR : Pick.CONNECT_FAILED);
+            return;
+        }
+        ready = true;
+        if (call != null) {
+            send();
+        } else {
+            timer.callOff();
+            timer = all.rest(this);
+        }
+    }
+
+    private Call finish(int outcome) {
+        Call done = call;
+        call = null;
+        handedOver = false;
+        timer.callOff();
+        // What follows the answer must come soon, or the connection is of no use.
+        timer = all.loop.at(all.loop.now() + all.connectWithin, () -> end(Pick.CANCELLED));
+        all.ended(done, index, outcome);
+        return done;
+    }
+
+    /** Closes the connection at once; a pick still on it ends so. */
+    void end(int outcome) {
+        if (over) {
+            return;
+        }
+        over = true;
+        if (timer != null) {
+            timer.callOff();
+        }
+        if (session != null) {
+            all.loop.cut(session);
+        } else if (connecting != null) {
+            connecting.cancel();
+        }
+        all.gone(this);
+        if (call != null) {
+            Call done = call;
+            call = null;
+            all.ended(done, index, outcome);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/net/appliances/Links.java
@@ -0,0 +1,111 @@
+package honeygap.net.appliances;
+
+import honeygap.Rules;
+import honeygap.fleet.Appliance;
+import honeygap.fleet.Pick;
+import honeygap.net.Loop;
+import honeygap.net.clients.Call;
+import honeygap.read.Fields;
+import honeygap.read.Malformed;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** All connections of this agent to appliances. */
+public final class Links {
+
+    /** Part of the time that appliances keep an idle connection for which this agent does. */
+    private static final double KEPT = 0.8;
+
+    final Loop loop;
+    private final Rules rules;
+    final long connectWithin;
+    private final long idleFor;
+    private final int most;
+    private final Set<Link> links = new LinkedHashSet<>();
+    private final long[] outcomes = new long[8];
+    private long unreadable;
+    private long opened;
+
+    public Links(Loop loop, Rules rules, Fields info, int most) throws Malformed {
+        this.loop = loop;
+        this.rules = rules;
+        this.most = most;
+        Fields ceilings = info.part("Ceilings");
+        connectWithin = ceilings.tenths("ConnectTimeoutNs", 2500);
+        idleFor = (long) (KEPT * ceilings.tenths("IdleCloseNs", 100_000));
+    }
+
+    public void pick(Call call, Remote remote, long within) {
+        int index = call.picks.size() - 1;
+        Link link = remote.idle.pollLast();
+        if (link == null) {
+            if (links.size() >= most && !makeRoom()) {
+                ended(call, index, Pick.MOOT);
+                return;
+            }
+            link = new Link(this, remote);
+            links.add(link);
+            opened++;
+            link.carry(call, index, within);
+            link.connect(loop, Math.min(within, connectWithin));
+        } else {
+            link.carry(call, index, within);
+        }
+    }
+
+    private boolean makeRoom() {
+        for (Link link : links) {
+            if (link.remote().idle.contains(link)) {
+                link.end(Pick.CANCELLED);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    public void cancel(Call call, int index) {
+        for (Link link : new ArrayList<>(links)) {
+            link.cancel(call, index);
+        }
+    }
+
+    /** What is idle to an appliance that drains, is gone or has started anew is of no use. */
+    public void dropIdle(Remote remote) {
+        for (Link link : new ArrayList<>(remote.idle)) {
+            link.end(Pick.CANCELLED);
+        }
+    }
+
+    Loop.Timer rest(Link link) {
+        if (link.remote().state != Appliance.UP) {
+            loop.gather(() -> link.end(Pick.CANCELLED));
+        } else {
+            link.remote().idle.addLast(link);
+        }
+        return loop.at(loop.now() + idleFor, () -> link.end(Pick.CANCELLED));
+    }
+
+    void gone(Link link) {
+        links.remove(link);
+        link.remote().idle.remove(link);
+    }
+
+    void ended(Call call, int index, int outcome) {
+        outcomes[outcome]++;
+        long lag = loop.clock() - call.picks.get(index).sentAt;
+        boolean closed = call.closed || outcome == Pick.OK;
+        loop.gather(() -> rules.ended(call, index, outcome, closed, lag));
+    }
+
+    void unreadable() {
+        unreadable++;
+    }
+
+    @Override
+    public String toString() {
+        return String.format("links %d, opened %d, ok %d, error %d, full %d, timeout %d, no connection %d,"
+                + " reset %d, cancelled %d, moot %d, unreadable %d", links.size(), opened, outcomes[0], outcomes[1],
+                outcomes[2], outcomes[3], outcomes[4], outcomes[5], outcomes[6], outcomes[7], unreadable);
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/net/appliances/Remote.java
@@ -0,0 +1,19 @@
+package honeygap.net.appliances;
+
+import honeygap.fleet.Appliance;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+
+/** The record of an appliance, with its address and the connections to it that are idle. */
+public final class Remote extends Appliance {
+
+    public final String name;
+    public InetSocketAddress address;
+    /** The one used last at the end. */
+    final ArrayDeque<Link> idle = new ArrayDeque<>();
+
+    public Remote(long id, String name) {
+        super(id);
+        this.name = name;
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/net/http/Lines.java
@@ -0,0 +1,44 @@
+package honeygap.net.http;
+
+import honeygap.read.Malformed;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+
+/** Cuts a body into lines, however its parts come. */
+public final class Lines {
+
+    /** Hears each line without its end. */
+    public interface Reader {
+
+        void line(byte[] bytes, int length) throws Malformed;
+    }
+
+    private static final int LONGEST = 1 << 20;
+
+    private final Reader reader;
+    private byte[] line = new byte[1024];
+    private int length;
+
+    public Lines(Reader reader) {
+        this.reader = reader;
+    }
+
+    public void feed(ByteBuffer bytes) throws Malformed {
+        while (bytes.hasRemaining()) {
+            byte next = bytes.get();
+            if (next == '\n') {
+                int whole = length > 0 && line[length - 1] == '\r' ? length - 1 : length;
+                length = 0;
+                reader.line(line, whole);
+            } else {
+                if (length == line.length) {
+                    if (length >= LONGEST) {
+                        throw new Malformed("a line too long");
+                    }
+                    line = Arrays.copyOf(line, 2 * length);
+                }
+                line[length++] = next;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/net/list/Registry.java
@@ -0,0 +1,246 @@
+package honeygap.net.list;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import honeygap.Rules;
+import honeygap.fleet.Appliance;
+import honeygap.fleet.Build;
+import honeygap.fleet.Location;
+import honeygap.net.Loop;
+import honeygap.net.appliances.Links;
+import honeygap.net.appliances.Remote;
+import honeygap.net.http.Answers;
+import honeygap.net.http.Connection;
+import honeygap.net.http.Lines;
+import honeygap.read.Fields;
+import honeygap.read.Malformed;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.IntFunction;
+
+/** The list of appliances: the watch on it, the whole of it on demand, and the one it started from. */
+public final class Registry {
+
+    /** As long as nothing changes, the list says so this often. */
+    private static final long BEAT = 20_000;
+    private static final int BEATS_TO_SILENCE = 2;
+
+    private final Loop loop;
+    private final Rules rules;
+    private final Links links;
+    private final IntFunction<Build> builds;
+    private final InetSocketAddress address;
+    private final String host;
+    private final long answerWithin;
+    /** Unix time, in milliseconds, at the loop's zero. */
+    private final long zeroMs;
+    private final JsonFactory json = new JsonFactory();
+    private final Map<String, Remote> remotes = new HashMap<>();
+    private final Map<String, Location> locations = new HashMap<>();
+    private long version;
+    private Call watch;
+    private Call fetch;
+    private long failures;
+
+    public Registry(Loop loop, Rules rules, Links links, IntFunction<Build> builds, InetSocketAddress address,
+                    String host, Fields info) throws Malformed {
+        this.loop = loop;
+        this.rules = rules;
+        this.links = links;
+        this.builds = builds;
+        this.address = address;
+        this.host = host;
+        answerWithin = info.part("Rules").tenths("MustAskInNs", BEATS_TO_SILENCE * BEAT) / 2;
+        zeroMs = System.currentTimeMillis() - loop.clock() / 10;
+    }
+
+    /** The list as it was last known, perhaps long ago. */
+    public void known(Fields list) throws Malformed {
+        take(list, true);
+    }
+
+    public void watch() {
+        if (watch != null) {
+            watch.close();
+        }
+        watch = new Call(true);
+        watch.get("/registry/instances?stream=1&index=" + version);
+    }
+
+    public void fetch() {
+        if (fetch != null) {
+            fetch.close();
+        }
+        fetch = new Call(false);
+        fetch.get("/registry/instances");
+    }
+
+    /** A watch, or the whole list once. */
+    private final class Call implements Answers.Reader {
+
+        private final boolean watching;
+        private final Connection connection;
+        private final Lines lines = new Lines(this::line);
+        private Loop.Timer silence;
+        private boolean over;
+        private boolean told;
+
+        Call(boolean watching) {
+            this.watching = watching;
+            silence = loop.at(loop.now() + answerWithin, this::fail);
+            connection = new Connection(loop, address, this, handedOver -> fail());
+        }
+
+        void get(String path) {
+            connection.get(host, path);
+        }
+
+        void close() {
+            over = true;
+            silence.callOff();
+            connection.close();
+        }
+
+        private void fail() {
+            if (!over) {
+                failures++;
+                close();
+                loop.gather(rules::listFailed);
+            }
+        }
+
+        @Override
+        public void head(int status) {
+            if (status != 200) {
+                fail();
+            }
+        }
+
+        @Override
+        public void data(ByteBuffer bytes) throws Malformed {
+            if (!over) {
+                silence.callOff();
+                silence = loop.at(loop.now() + BEATS_TO_SILENCE * BEAT, this::fail);
+                lines.feed(bytes);
+            }
+        }
+
+        private void line(byte[] bytes, int length) throws Malformed {
+            if (over) {
+                return;
+            }
+            if (length > 0) {
+                take(parse(bytes, length), false);
+            } else if (!told) {
+                // Nothing has changed since the version that was asked for.
+                loop.gather(() -> {
+                    rules.listBegins(false, false);
+                    rules.listEnds();
+                });
+            }
+            told = true;
+        }
+
+        @Override
+        public void end() throws Malformed {
+            if (watching) {
+                fail();
+                return;
+            }
+            // The whole list may come without the end of its line.
+            lines.feed(ByteBuffer.wrap(new byte[] {'\n'}));
+            close();
+        }
+    }
+
+    private Fields parse(byte[] bytes, int length) throws Malformed {
+        try (JsonParser parser = json.createParser(bytes, 0, length)) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                throw new Malformed("not an object");
+            }
+            return Fields.read(parser);
+        } catch (IOException e) {
+            throw new Malformed("not JSON");
+        }
+    }
+
+    /** Reads all entries before any is told: one that can't be read must not leave half a list. */
+    private void take(Fields list, boolean disk) throws Malformed {
+        boolean full = list.flag("snapshot", false);
+        long index = list.whole("index");
+        List<Runnable> told = new ArrayList<>();
+        for (Fields entry : list.objects("endpoints")) {
+            told.add(entry(entry));
+        }
+        version = index;
+        loop.gather(() -> {
+            rules.listBegins(full, disk);
+            told.forEach(Runnable::run);
+            rules.listEnds();
+            for (Remote remote : remotes.values()) {
+                if (remote.state != Appliance.UP) {
+                    links.dropIdle(remote);
+                }
+            }
+            remotes.values().removeIf(remote -> remote.state == Appliance.GONE && remote.room.out == 0);
+        });
+    }
+
+    private Runnable entry(Fields entry) throws Malformed {
+        String name = entry.text("name");
+        int state = state(entry.text("status"));
+        InetSocketAddress at = state == Appliance.GONE && !entry.has("address") ? null
+                : address(entry.text("address"));
+        long since = entry.has("since_ms") ? Math.round(entry.number("since_ms")) : 0;
+        long startedAt = since == 0 ? Rules.LONG_AGO : 10 * (since - zeroMs);
+        int release = entry.has("release") ? entry.rounded("release") : 0;
+        String zone = entry.text("zone", "");
+        int cell = entry.has("group") ? entry.rounded("group") : 0;
+        return () -> {
+            Remote remote = remotes.computeIfAbsent(name, n -> new Remote(remotes.size(), n));
+            if (at != null && !at.equals(remote.address) || remote.startedAt != startedAt) {
+                links.dropIdle(remote);
+            }
+            remote.address = at != null ? at : remote.address;
+            rules.listed(remote, builds.apply(release), locations.computeIfAbsent(zone, n -> new Location()), cell,
+                    state, startedAt);
+        };
+    }
+
+    private static int state(String word) throws Malformed {
+        switch (word) {
+            case "SERVING":
+                return Appliance.UP;
+            case "DRAINING":
+                return Appliance.DRAINING;
+            case "DELETED":
+                return Appliance.GONE;
+            default:
+                throw new Malformed("unknown status " + word);
+        }
+    }
+
+    /** An address in figures and a port: names are not looked up. */
+    public static InetSocketAddress address(String words) throws Malformed {
+        int colon = words.lastIndexOf(':');
+        if (colon > 0 && words.substring(0, colon).matches("[0-9.]+|\\[?[0-9a-fA-F:]+]?")) {
+            try {
+                return new InetSocketAddress(words.substring(0, colon), Integer.parseInt(words.substring(colon + 1)));
+            } catch (IllegalArgumentException e) {
+                throw new Malformed("not an address: " + words);
+            }
+        }
+        throw new Malformed("not an address: " + words);
+    }
+
+    @Override
+    public String toString() {
+        return String.format("list %d, appliances %d, failures %d", version, remotes.size(), failures);
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/net/pg/Statement.java
@@ -0,0 +1,173 @@
+package honeygap.net.pg;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+/** Reads a statement in place: its subject, and the names and values in the comment at its end. */
+public final class Statement {
+
+    private ByteBuffer text;
+    private int length;
+    private String id;
+    private String method;
+    private String tenant;
+    private String key;
+    private long timeMs;
+    private long hintMicros;
+    private boolean retry;
+    private int timeFrom;
+    private int timeTo;
+
+    /** Reads the body of a query; false where it is not in the documented form. */
+    public boolean read(ByteBuffer body) {
+        text = body;
+        length = body.limit();
+        while (length > 0 && (body.get(length - 1) == 0 || body.get(length - 1) <= ' ' && body.get(length - 1) >= 0)) {
+            length--;
+        }
+        id = method = tenant = key = null;
+        timeMs = hintMicros = 0;
+        retry = false;
+        timeFrom = -1;
+        boolean select = startsWith("SELECT content FROM kv WHERE name = '");
+        boolean insert = startsWith("INSERT INTO kv (name, content) VALUES ('");
+        if (!select && !insert || length < 2 || at(length - 2) != '*' || at(length - 1) != '/') {
+            return false;
+        }
+        int comment = length - 3;
+        while (comment > 0 && !(at(comment) == '*' && at(comment - 1) == '/')) {
+            comment--;
+        }
+        int open = find('\'', 0, comment);
+        int close = open < 0 ? -1 : find('\'', open + 1, comment);
+        if (comment <= 0 || close < 0) {
+            return false;
+        }
+        key = string(open + 1, close);
+        int end = length - 2;
+        for (int from = comment + 1; from < end;) {
+            int to = find(',', from, end);
+            to = to < 0 ? end : to;
+            int first = from;
+            int last = to;
+            while (first < last && at(first) == ' ') {
+                first++;
+            }
+            while (last > first && at(last - 1) == ' ') {
+                last--;
+            }
+            int equals = find('=', first, last);
+            if (equals < 0 || !field(first, equals, last)) {
+                return false;
+            }
+            from = to + 1;
+        }
+        return id != null && !id.isEmpty() && method != null && timeFrom >= 0;
+    }
+
+    private boolean field(int from, int equals, int to) {
+        if (equals == from + 2 && at(from) == 'i' && at(from + 1) == 'd') {
+            id = string(equals + 1, to);
+            return true;
+        }
+        if (equals != from + 1) {
+            return true;
+        }
+        switch (at(from)) {
+            case 'c':
+                method = string(equals + 1, to);
+                return true;
+            case 't':
+                tenant = string(equals + 1, to);
+                return true;
+            case 'd':
+                timeFrom = equals + 1;
+                timeTo = to;
+                timeMs = number(equals + 1, to);
+                return timeMs >= 0;
+            case 'h':
+                hintMicros = number(equals + 1, to);
+                return hintMicros >= 0;
+            case 'r':
+                retry = number(equals + 1, to) == 1;
+                return true;
+            default:
+                return true;
+        }
+    }
+
+    /** A whole number, any fraction left away; under zero where there is none. */
+    private long number(int from, int to) {
+        long value = 0;
+        int i = from;
+        while (i < to && at(i) >= '0' && at(i) <= '9' && value < Integer.MAX_VALUE) {
+            value = 10 * value + at(i++) - '0';
+        }
+        return i == from || i < to && at(i) != '.' ? -1 : value;
+    }
+
+    private boolean startsWith(String words) {
+        for (int i = 0; i < words.length(); i++) {
+            if (i >= length || at(i) != words.charAt(i)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private int find(char wanted, int from, int to) {
+        for (int i = from; i < to; i++) {
+            if (at(i) == wanted) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    private byte at(int index) {
+        return text.get(index);
+    }
+
+    private String string(int from, int to) {
+        byte[] bytes = new byte[to - from];
+        text.get(from, bytes);
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+
+    public String id() {
+        return id;
+    }
+
+    public String method() {
+        return method;
+    }
+
+    public String tenant() {
+        return tenant;
+    }
+
+    public String key() {
+        return key;
+    }
+
+    public long timeMs() {
+        return timeMs;
+    }
+
+    public long hintMicros() {
+        return hintMicros;
+    }
+
+    public boolean retry() {
+        return retry;
+    }
+
+    /** What stands before the time that the client waits, and what stands after it. */
+    public ByteBuffer before() {
+        return text.slice(0, timeFrom);
+    }
+
+    public ByteBuffer after() {
+        return text.slice(timeTo, length - timeTo);
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/read/Deployment.java
@@ -0,0 +1,86 @@
+package honeygap.read;
+
+import honeygap.Rules;
+import honeygap.fleet.Method;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What an agent is told of its deployment at start, read the same way for the simulator and for sockets. */
+public final class Deployment {
+
+    private Deployment() {
+    }
+
+    public static List<Method> methods(Fields info) throws Malformed {
+        List<Method> methods = new ArrayList<>();
+        for (Fields method : info.objects("Classes")) {
+            methods.add(new Method(methods.size(), effect(method.text("Effect")),
+                    scope(method.text("KeyScope", "all")), method.tenths("WindowNs", 0),
+                    method.tenths("AimNs"), method.tenths("GiveUpNs"),
+                    method.number("Worth", 1), method.number("LateWorth", 0)));
+        }
+        return methods;
+    }
+
+    public static Rules rules(long now, long seed, List<Method> methods, Fields info) throws Malformed {
+        Fields ceilings = info.part("Ceilings");
+        Fields family = info.part("FamilyInfo");
+        Fields guards = info.part("Rules");
+        return new Rules(now, seed, info.index("FleetSize", 1), info.tenths("TickNs"), methods,
+                new Rules.Tries(ceilings.index("MaxAttempts", 1), ceilings.flag("RetryAfter", false),
+                        ceilings.tenths("MaxRetryAfterNs", 0)),
+                new Rules.Listing(info.text("RegistryMode", "push").equals("ask"),
+                        guards.tenths("MustAskInNs", 0)),
+                new Rules.Cold(guards.number("ColdFrom", 1), guards.tenths("WarmAfterNs", 0),
+                        guards.number("FallMultiple", 1), guards.tenths("TipAfterNs", 0)),
+                new Rules.Desk(gate(family.text("GateMode", "first_voice")),
+                        family.tenths("VoteStandsNs", 0), family.tenths("CallTimeoutNs", 0),
+                        family.index("NoesNeeded", 1), family.number("VotesPerS", 1),
+                        family.has("TallyEveryNs") && family.whole("TallyEveryNs") > 0
+                                ? family.number("SampledShare", 0) : 0),
+                new Rules.Exposure(family.has("Caps") ? family.numbers("Caps") : new double[0],
+                        family.has("Waves") ? family.numbers("Waves") : new double[0],
+                        family.tenths("WindowNs", 0), family.number("Uncounted", 0),
+                        family.text("CapScope", "all").equals("each_class"), family.index("Shielded", 0),
+                        family.flag("KeysStay", false)));
+    }
+
+    private static int effect(String word) throws Malformed {
+        switch (word) {
+            case "read_like":
+                return Method.IDEMPOTENT;
+            case "idempotency_key":
+                return Method.TOKENED;
+            case "non_idempotent":
+                return Method.NON_IDEMPOTENT;
+            default:
+                throw new Malformed("unknown Effect " + word);
+        }
+    }
+
+    private static int scope(String word) throws Malformed {
+        switch (word) {
+            case "all":
+                return Method.SCOPE_ALL;
+            case "zone":
+                return Method.SCOPE_ZONE;
+            case "cell":
+                return Method.SCOPE_CELL;
+            default:
+                throw new Malformed("unknown KeyScope " + word);
+        }
+    }
+
+    private static int gate(String word) throws Malformed {
+        switch (word) {
+            case "first_voice":
+                return Rules.FIRST_VOICE;
+            case "by_count":
+                return Rules.BY_COUNT;
+            case "automatic":
+                return Rules.AUTOMATIC;
+            default:
+                throw new Malformed("unknown GateMode " + word);
+        }
+    }
+}
--- a/src/main/java/honeygap/wire/Fields.java
+++ b/src/main/java/honeygap/read/Fields.java
@@ -1,4 +1,4 @@
-package honeygap.wire;
+package honeygap.read;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -9,17 +9,17 @@
 import java.util.Map;
 
 /** The fields of one JSON object, by name. Reading a field that is missing or of another type is a fault. */
-final class Fields {
+public final class Fields {
 
     /** Tenths of a millisecond, the unit of the core, in the wire's nanoseconds. */
-    static final long NS = 100_000;
+    public static final long NS = 100_000;
 
     private static final Fields NONE = new Fields();
 
     private final Map<String, Object> values = new LinkedHashMap<>();
 
     /** Reads the object that the parser has just entered. */
-    static Fields read(JsonParser in) throws IOException {
+    public static Fields read(JsonParser in) throws IOException {
         Fields fields = new Fields();
         while (in.nextToken() != JsonToken.END_OBJECT) {
             String name = in.currentName();
@@ -55,75 +55,75 @@
         }
     }
 
-    boolean has(String name) {
+    public boolean has(String name) {
         return values.get(name) != null;
     }
 
-    long whole(String name) throws Malformed {
+    public long whole(String name) throws Malformed {
         return get(name, Long.class, "a whole number");
     }
 
-    long whole(String name, long ifAbsent) throws Malformed {
+    public long whole(String name, long ifAbsent) throws Malformed {
         return has(name) ? whole(name) : ifAbsent;
     }
 
     /** A small whole number. */
-    int index(String name) throws Malformed {
+    public int index(String name) throws Malformed {
         return small(name, whole(name));
     }
 
-    int index(String name, int ifAbsent) throws Malformed {
+    public int index(String name, int ifAbsent) throws Malformed {
         return has(name) ? index(name) : ifAbsent;
     }
 
     /** A time or duration, rounded down to whole tenths of a millisecond. */
-    long tenths(String name) throws Malformed {
+    public long tenths(String name) throws Malformed {
         return Math.floorDiv(whole(name), NS);
     }
 
-    long tenths(String name, long ifAbsent) throws Malformed {
+    public long tenths(String name, long ifAbsent) throws Malformed {
         return has(name) ? tenths(name) : ifAbsent;
     }
 
-    double number(String name) throws Malformed {
+    public double number(String name) throws Malformed {
         return get(name, Number.class, "a number").doubleValue();
     }
 
-    double number(String name, double ifAbsent) throws Malformed {
+    public double number(String name, double ifAbsent) throws Malformed {
         return has(name) ? number(name) : ifAbsent;
     }
 
     /** A whole number that may be written with a fraction of zero. */
-    int rounded(String name) throws Malformed {
+    public int rounded(String name) throws Malformed {
         return small(name, Math.round(number(name)));
     }
 
-    boolean flag(String name) throws Malformed {
+    public boolean flag(String name) throws Malformed {
         return get(name, Boolean.class, "true or false");
     }
 
-    boolean flag(String name, boolean ifAbsent) throws Malformed {
+    public boolean flag(String name, boolean ifAbsent) throws Malformed {
         return has(name) ? flag(name) : ifAbsent;
     }
 
-    String text(String name) throws Malformed {
+    public String text(String name) throws Malformed {
         return get(name, String.class, "a string");
     }
 
-    String text(String name, String ifAbsent) throws Malformed {
+    public String text(String name, String ifAbsent) throws Malformed {
         return has(name) ? text(name) : ifAbsent;
     }
 
-    Fields object(String name) throws Malformed {
+    public Fields object(String name) throws Malformed {
         return get(name, Fields.class, "an object");
     }
 
     /** An object that may be absent, and is empty then. */
-    Fields part(String name) throws Malformed {
+    public Fields part(String name) throws Malformed {
         return has(name) ? object(name) : NONE;
     }
 
-    List<Fields> objects(String name) throws Malformed {
+    public List<Fields> objects(String name) throws Malformed {
         List<Fields> objects = new ArrayList<>();
         for (Object value : get(name, List.class, "a list")) {
             if (!(value instanceof Fields fields)) {
@@ -134,7 +134,7 @@
         return objects;
     }
 
-    double[] numbers(String name) throws Malformed {
+    public double[] numbers(String name) throws Malformed {
         List<?> list = get(name, List.class, "a list");
         double[] numbers = new double[list.size()];
         for (int i = 0; i < numbers.length; i++) {
--- a/src/main/java/honeygap/wire/Malformed.java
+++ b/src/main/java/honeygap/read/Malformed.java
@@ -1,11 +1,11 @@
-package honeygap.wire;
+package honeygap.read;
 
 /** What the simulator sent does not make sense; the message names the fault. */
-final class Malformed extends Exception {
+public final class Malformed extends Exception {
 
     private static final long serialVersionUID = 1L;
 
-    Malformed(String fault) {
+    public Malformed(String fault) {
         super(fault);
     }
 }
--- a/src/main/java/honeygap/wire/Agent.java
+++ b/src/main/java/honeygap/wire/Agent.java
@@ -9,9 +9,11 @@
 import honeygap.fleet.Method;
 import honeygap.fleet.Rpc;
 import honeygap.fleet.Tenant;
+import honeygap.read.Deployment;
+import honeygap.read.Fields;
+import honeygap.read.Malformed;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,7 +23,7 @@
 
     private final long who;
     private final Rules rules;
-    private final List<Method> methods = new ArrayList<>();
+    private final List<Method> methods;
     private final Map<String, Rpc> rpcs = new HashMap<>();
     private final Map<Long, Appliance> appliances = new HashMap<>();
     private final Map<Integer, Build> builds = new HashMap<>();
@@ -32,71 +34,8 @@
 
     Agent(long who, long now, long seed, Fields info) throws Malformed {
         this.who = who;
-        for (Fields method : info.objects("Classes")) {
-            methods.add(new Method(methods.size(), effect(method.text("Effect")),
-                    scope(method.text("KeyScope", "all")), method.tenths("WindowNs", 0),
-                    method.tenths("AimNs"), method.tenths("GiveUpNs"),
-                    method.number("Worth", 1), method.number("LateWorth", 0)));
-        }
-        Fields ceilings = info.part("Ceilings");
-        Fields family = info.part("FamilyInfo");
-        Fields guards = info.part("Rules");
-        rules = new Rules(now, seed, info.index("FleetSize", 1), info.tenths("TickNs"), methods,
-                new Rules.Tries(ceilings.index("MaxAttempts", 1), ceilings.flag("RetryAfter", false),
-                        ceilings.tenths("MaxRetryAfterNs", 0)),
-                new Rules.Listing(info.text("RegistryMode", "push").equals("ask"),
-                        guards.tenths("MustAskInNs", 0)),
-                new Rules.Cold(guards.number("ColdFrom", 1), guards.tenths("WarmAfterNs", 0),
-                        guards.number("FallMultiple", 1), guards.tenths("TipAfterNs", 0)),
-                new Rules.Desk(gate(family.text("GateMode", "first_voice")),
-                        family.tenths("VoteStandsNs", 0), family.tenths("CallTimeoutNs", 0),
-                        family.index("NoesNeeded", 1), family.number("VotesPerS", 1),
-                        family.has("TallyEveryNs") && family.whole("TallyEveryNs") > 0
-                                ? family.number("SampledShare", 0) : 0),
-                new Rules.Exposure(family.has("Caps") ? family.numbers("Caps") : new double[0],
-                        family.has("Waves") ? family.numbers("Waves") : new double[0],
-                        family.tenths("WindowNs", 0), family.number("Uncounted", 0),
-                        family.text("CapScope", "all").equals("each_class"), family.index("Shielded", 0),
-                        family.flag("KeysStay", false)));
-    }
-
-    private static int effect(String word) throws Malformed {
-        switch (word) {
-            case "read_like":
-                return Method.IDEMPOTENT;
-            case "idempotency_key":
-                return Method.TOKENED;
-            case "non_idempotent":
-                return Method.NON_IDEMPOTENT;
-            default:
-                throw new Malformed("unknown Effect " + word);
-        }
-    }
-
-    private static int scope(String word) throws Malformed {
-        switch (word) {
-            case "all":
-                return Method.SCOPE_ALL;
-            case "zone":
-                return Method.SCOPE_ZONE;
-            case "cell":
-                return Method.SCOPE_CELL;
-            default:
-                throw new Malformed("unknown KeyScope " + word);
-        }
-    }
-
-    private static int gate(String word) throws Malformed {
-        switch (word) {
-            case "first_voice":
-                return Rules.FIRST_VOICE;
-            case "by_count":
-                return Rules.BY_COUNT;
-            case "automatic":
-                return Rules.AUTOMATIC;
-            default:
-                throw new Malformed("unknown GateMode " + word);
-        }
+        methods = Deployment.methods(info);
+        rules = Deployment.rules(now, seed, methods, info);
     }
 
     /** Hands one event on. A fault in the rules is kept for the reply; a malformed event is thrown. */
--- a/src/main/java/honeygap/wire/WireHost.java
+++ b/src/main/java/honeygap/wire/WireHost.java
@@ -6,6 +6,8 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
+import honeygap.read.Fields;
+import honeygap.read.Malformed;
 import java.io.BufferedOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
