--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -31,6 +31,8 @@
 
     /** Descriptors kept back for the list, the desk and what the runtime itself holds. */
     private static final int RESERVE = 64;
+    /** For so long, in milliseconds, the code is warmed up before the agent listens. */
+    private static final long REHEARSED_MS = 300;
     /** How often the counters go to the log. */
     private static final long REPORT = 100_000;
     /** New clients may come for so long after the order to end, and what is open is answered. */
@@ -46,6 +48,7 @@
     private final Bulletin bulletin;
     private final InetSocketAddress listen;
     private final int most;
+    private final Fields info;
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Map<Integer, Build> builds = new HashMap<>();
     private long now;
@@ -53,7 +56,7 @@
 
     public Agent(Loop loop, Fields told) throws Malformed {
         this.loop = loop;
-        Fields info = told.object("settings");
+        info = told.object("settings");
         Fields desk = told.object("rollouts");
         List<Method> methods = Deployment.methods(info);
         long seed;
@@ -91,14 +94,24 @@
         }
     }
 
-    /** Starts to serve. */
-    public void start() throws IOException {
+    /** Warms up, then starts to serve. */
+    public void start() throws IOException, Malformed {
+        Logger.info("rehearsed {} RPCs", new Rehearsal(info).play(REHEARSED_MS));
         loop.gather(bulletin::listen);
         loop.gather(this::report);
         loop.start(this);
         loop.listen(listen, 2 * most, clients::comer);
     }
 
+    public InetSocketAddress address() {
+        return loop.address();
+    }
+
+    /** Stops at once, whatever is open. */
+    public void end() {
+        loop.end();
+    }
+
     private void report() {
         Logger.info("turns {}, faults {}; {}; {}; {}; {}; {}", turns, Loop.faults(), clients, links, registry,
                 ballots, bulletin);
@@ -156,7 +169,7 @@
 
     @Override
     public void probe(Appliance appliance) {
-        Logger.debug("no probes yet");
+        links.probe((Remote) appliance);
     }
 
     @Override
--- a/src/main/java/honeygap/net/Loop.java
+++ b/src/main/java/honeygap/net/Loop.java
@@ -132,6 +132,7 @@
     public void start(Core core) {
         this.core = core;
         Thread started = new Thread(this, "loop");
+        started.setDaemon(true);
         started.start();
     }
 
@@ -197,9 +198,17 @@
         processors.add(processor);
     }
 
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return acceptor.getLocalAddress();
+    }
+
+    /** Closes everything; from another thread only. */
     public void end() {
+        acceptor.dispose();
+        connector.dispose();
+        pool.dispose();
         over = true;
-        post(() -> { });
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/honeygap/net/Rehearsal.java
@@ -0,0 +1,131 @@
+package honeygap.net;
+
+import honeygap.Ctl;
+import honeygap.Rules;
+import honeygap.fleet.Appliance;
+import honeygap.fleet.Build;
+import honeygap.fleet.Location;
+import honeygap.fleet.Method;
+import honeygap.fleet.Pick;
+import honeygap.fleet.Rpc;
+import honeygap.fleet.Tenant;
+import honeygap.net.pg.Frames;
+import honeygap.net.pg.Statement;
+import honeygap.net.pg.Words;
+import honeygap.read.Deployment;
+import honeygap.read.Fields;
+import honeygap.read.Malformed;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.List;
+
+/**
+ * Runs made-up RPCs through the parsers and a module of its own before the agent listens, so that the first
+ * real ones do not wait for classes to load and code to compile. No peer is touched and nothing is kept.
+ */
+final class Rehearsal implements Ctl {
+
+    private static final int APPLIANCES = 8;
+    private static final long STEP = 10;
+
+    private final List<Method> methods;
+    private final Rules rules;
+    private final Frames frames = new Frames(1 << 16);
+    private final Statement statement = new Statement();
+    private final ArrayDeque<Rpc> out = new ArrayDeque<>();
+    private final Tenant tenant = new Tenant();
+    private long now;
+
+    Rehearsal(Fields info) throws Malformed {
+        methods = Deployment.methods(info);
+        rules = Deployment.rules(0, 1, methods, info);
+        rules.listBegins(true, true);
+        Build earlier = new Build(1, methods.size());
+        Build trial = new Build(2, methods.size());
+        Location location = new Location();
+        for (int i = 0; i < APPLIANCES; i++) {
+            rules.listed(new Appliance(i), i % 2 == 0 ? earlier : trial, location, 0, Appliance.UP, Rules.LONG_AGO);
+        }
+        rules.listEnds();
+        rules.told(trial, Build.ON_TRIAL, 0, 1, false, 0, Pick.OK);
+    }
+
+    /** Goes on for so long, in milliseconds; how many RPCs were played. */
+    int play(long ms) throws Malformed {
+        long end = System.nanoTime() + ms * 1_000_000;
+        int played = 0;
+        while (System.nanoTime() < end) {
+            now += STEP;
+            rules.now(now);
+            rules.woken();
+            take(played++);
+            while (rules.next(this)) {
+                continue;
+            }
+            if (out.size() > APPLIANCES / 2) {
+                Rpc rpc = out.poll();
+                int outcome = played % 16 == 0 ? Pick.ERROR : Pick.OK;
+                rules.ended(rpc, rpc.picks.size() - 1, outcome, rpc.closed || outcome == Pick.OK, 10 * STEP);
+            }
+        }
+        return played;
+    }
+
+    private void take(int number) throws Malformed {
+        Method method = methods.get(number % methods.size());
+        frames.feed(Words.query("SELECT content FROM kv WHERE name = '" + number + "' /* id=" + number
+                + ",c=m,t=t,d=480,h=1000 */"));
+        if (frames.next() && statement.read(frames.body())) {
+            Words.query(statement.before(), statement.timeMs(), statement.after());
+            rules.taken(new Rpc(statement.id(), method, tenant, statement.key(), now, now + method.deadline,
+                    statement.hintMicros(), statement.retry()));
+        }
+        frames.feed(Words.error(Words.TOO_MANY, "rehearsed", 1));
+        while (frames.next()) {
+            Words.field(frames.body(), 'C');
+        }
+    }
+
+    @Override
+    public void pick(Rpc rpc, Appliance appliance, long within) {
+        out.add(rpc);
+    }
+
+    @Override
+    public void pushBack(Rpc rpc, long stayAway) {
+        Words.error(Words.TOO_MANY, "rehearsed", stayAway);
+    }
+
+    @Override
+    public void abort(Rpc rpc) {
+        Words.error(Words.GIVEN_UP, "rehearsed", 0);
+    }
+
+    @Override
+    public void cancel(Rpc rpc, int pick) {
+    }
+
+    @Override
+    public void probe(Appliance appliance) {
+    }
+
+    @Override
+    public void vote(Build build, int stage, int verdict) {
+    }
+
+    @Override
+    public void watch() {
+    }
+
+    @Override
+    public void fetch() {
+    }
+
+    @Override
+    public void wake(long delay) {
+    }
+
+    @Override
+    public void note(String line) {
+    }
+}
--- a/src/main/java/honeygap/net/appliances/Link.java
+++ b/src/main/java/honeygap/net/appliances/Link.java
@@ -35,6 +35,7 @@
     private int index;
     private long upTo;
     private boolean handedOver;
+    private boolean probing;
     /** Slices of the answer as it comes: description, row, completion. */
     private final List<ByteBuffer> answer = new ArrayList<>(3);
     private boolean rowSeen;
@@ -48,9 +49,26 @@
         return remote;
     }
 
-    void connect(Loop loop, long within) {
-        timer = loop.at(loop.now() + within, this::late);
-        connecting = loop.connect(remote.address, this);
+    /** Opens the connection where that has not been done. */
+    void connect(long within) {
+        if (connecting == null) {
+            timer = all.loop.at(all.loop.now() + within, this::late);
+            connecting = all.loop.connect(remote.address, this);
+        }
+    }
+
+    /** Takes a probe on instead of a pick. */
+    void probe() {
+        probing = true;
+        if (ready) {
+            sendProbe();
+        }
+    }
+
+    private void sendProbe() {
+        timer.callOff();
+        timer = all.loop.at(all.loop.now() + all.connectWithin, this::late);
+        session.write(new Gathered(Words.query("SELECT 1")));
     }
 
     /** Takes a pick on, to be sent as soon as the connection is ready. */
@@ -138,10 +156,14 @@
                 break;
             case 'C':
                 answer.add(frames.whole());
-                answered();
+                if (!probing) {
+                    answered();
+                }
                 break;
             case 'E':
-                refused(Words.field(frames.body(), 'C'));
+                if (!probing || !ready) {
+                    refused(Words.field(frames.body(), 'C'));
+                }
                 break;
             case 'Z':
                 idle();
@@ -186,9 +208,13 @@
             end(handedOver ? Pick.ERROR : Pick.CONNECT_FAILED);
             return;
         }
+        probing &= !ready;
         ready = true;
+        answer.clear();
         if (call != null) {
             send();
+        } else if (probing) {
+            sendProbe();
         } else {
             timer.callOff();
             timer = all.rest(this);
--- a/src/main/java/honeygap/net/appliances/Links.java
+++ b/src/main/java/honeygap/net/appliances/Links.java
@@ -36,22 +36,35 @@
         idleFor = (long) (KEPT * ceilings.tenths("IdleCloseNs", 100_000));
     }
 
+    /** Without a descriptor for a connection the pick is not sent at all. */
     public void pick(Call call, Remote remote, long within) {
         int index = call.picks.size() - 1;
-        Link link = remote.idle.pollLast();
+        Link link = take(remote);
         if (link == null) {
-            if (links.size() >= most && !makeRoom()) {
-                ended(call, index, Pick.MOOT);
-                return;
-            }
+            ended(call, index, Pick.MOOT);
+            return;
+        }
+        link.carry(call, index, within);
+        link.connect(Math.min(within, connectWithin));
+    }
+
+    /** Asks whether the appliance is ready; the module has no use for the answer but what it keeps open. */
+    public void probe(Remote remote) {
+        Link link = take(remote);
+        if (link != null) {
+            link.probe();
+            link.connect(connectWithin);
+        }
+    }
+
+    private Link take(Remote remote) {
+        Link link = remote.idle.pollLast();
+        if (link == null && (links.size() < most || makeRoom())) {
             link = new Link(this, remote);
             links.add(link);
             opened++;
-            link.carry(call, index, within);
-            link.connect(loop, Math.min(within, connectWithin));
-        } else {
-            link.carry(call, index, within);
         }
+        return link;
     }
 
     private boolean makeRoom() {
--- a/src/main/java/honeygap/net/clients/Clients.java
+++ b/src/main/java/honeygap/net/clients/Clients.java
@@ -96,7 +96,7 @@
                 statement.key(), now, deadline, statement.hintMicros() / 100, statement.retry(), client,
                 statement.before(), statement.after());
         open++;
-        call.guard = loop.at(deadline + 2 * tick, () -> rescue(call));
+        call.guard = loop.at(deadline + 2 * tick, () -> loop.post(() -> rescue(call)));
         return call;
     }
 
@@ -109,11 +109,13 @@
         }
     }
 
-    /** Guards against an RPC that the rules have lost by a fault; never seen otherwise. */
+    /** Guards against an RPC that the rules have lost by a fault: after they had their say in this turn. */
     private void rescue(Call call) {
-        rescued++;
-        call.closed = true;
-        call.abort();
+        if (call.client != null) {
+            rescued++;
+            call.closed = true;
+            call.abort();
+        }
     }
 
     void left(Call call) {
