Tests of the agent among stand-ins on loopback, and of its parsers

Tables: every row of the protocol's outcomes with what the client hears and how many statements came through; what clients may send, cut in pieces of any size; slow readers; more clients than descriptors; the list cut anywhere, down, silent, half; each status of the desk's table; news after failures; leaving with work open. Checked by them: a pick whose last byte is out may have run, one without never did; nothing malformed reaches an appliance.

--- a/src/main/java/honeygap/cli/Main.java
+++ b/src/main/java/honeygap/cli/Main.java
@@ -9,7 +9,8 @@
 
 /** The command line: one subcommand for each way of running honeygap. */
 @CommandLine.Command(name = "honeygap", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
-        synopsisSubcommandLabel = "<subcommand>", description = "A proxy that tries out new builds on live traffic.",
+        synopsisSubcommandLabel = "<subcommand>",
+        description = "A proxy that tries out new builds on live traffic.",
         subcommands = {Serve.class, VersionCommand.class})
 public final class Main implements Runnable {
 
--- a/src/main/java/honeygap/cli/Serve.java
+++ b/src/main/java/honeygap/cli/Serve.java
@@ -17,7 +17,8 @@
 import java.util.concurrent.CountDownLatch;
 import picocli.CommandLine;
 
-@CommandLine.Command(name = "serve", mixinStandardHelpOptions = true, description = "Run one agent on sockets.")
+@CommandLine.Command(name = "serve", mixinStandardHelpOptions = true,
+        description = "Run one agent on sockets.")
 final class Serve implements Callable<Integer> {
 
     @CommandLine.Spec
--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -74,7 +74,8 @@
         for (Fields method : info.objects("Classes")) {
             names.put(method.text("Name"), methods.get(at++));
         }
-        IntFunction<Build> build = number -> builds.computeIfAbsent(number, n -> new Build(n, methods.size()));
+        IntFunction<Build> build = number ->
+                builds.computeIfAbsent(number, n -> new Build(n, methods.size()));
         clients = new Clients(loop, rules, names, info, most);
         links = new Links(loop, rules, info, most);
         registry = new Registry(loop, rules, links, build, Registry.address(told.text("discovery")),
--- a/src/main/java/honeygap/net/Rehearsal.java
+++ b/src/main/java/honeygap/net/Rehearsal.java
@@ -44,7 +44,8 @@
         Build trial = new Build(2, methods.size());
         Location location = new Location();
         for (int i = 0; i < APPLIANCES; i++) {
-            rules.listed(new Appliance(i), i % 2 == 0 ? earlier : trial, location, 0, Appliance.UP, Rules.LONG_AGO);
+            rules.listed(new Appliance(i), i % 2 == 0 ? earlier : trial, location, 0, Appliance.UP,
+                    Rules.LONG_AGO);
         }
         rules.listEnds();
         rules.told(trial, Build.ON_TRIAL, 0, 1, false, 0, Pick.OK);
--- a/src/main/java/honeygap/net/clients/Clients.java
+++ b/src/main/java/honeygap/net/clients/Clients.java
@@ -153,7 +153,7 @@
 
     @Override
     public String toString() {
-        return String.format("clients %d, open RPCs %d, malformed %d, rescued %d", here.size(), open, malformed,
-                rescued);
+        return String.format("clients %d, open RPCs %d, malformed %d, rescued %d", here.size(), open,
+                malformed, rescued);
     }
 }
--- a/src/main/java/honeygap/net/desk/Ballots.java
+++ b/src/main/java/honeygap/net/desk/Ballots.java
@@ -27,7 +27,8 @@
     private long cast;
     private long unanswered;
 
-    public Ballots(Loop loop, Rules rules, News news, InetSocketAddress address, String host, long answerWithin) {
+    public Ballots(Loop loop, Rules rules, News news, InetSocketAddress address, String host,
+            long answerWithin) {
         this.loop = loop;
         this.rules = rules;
         this.news = news;
--- a/src/main/java/honeygap/net/desk/News.java
+++ b/src/main/java/honeygap/net/desk/News.java
@@ -30,8 +30,8 @@
 
     /** The news that an agent starts from. */
     public Runnable first(Fields news) throws Malformed {
-        return told(news.rounded("Revision"), news.rounded("Wave"), news.text("State"), news.number("MaxShare"),
-                news.number("AgeMs"), false);
+        return told(news.rounded("Revision"), news.rounded("Wave"), news.text("State"),
+                news.number("MaxShare"), news.number("AgeMs"), false);
     }
 
     /** The answer to a vote that counts. */
--- a/src/main/java/honeygap/net/http/Answers.java
+++ b/src/main/java/honeygap/net/http/Answers.java
@@ -22,7 +22,8 @@
     private static final int LONGEST_LINE = 8192;
     private static final int MOST_LINES = 100;
 
-    private static final int STATUS = 0, HEAD = 1, BODY = 2, CHUNK_SIZE = 3, CHUNK = 4, CHUNK_END = 5, TRAILER = 6,
+    private static final int STATUS = 0, HEAD = 1, BODY = 2, CHUNK_SIZE = 3, CHUNK = 4, CHUNK_END = 5,
+            TRAILER = 6,
             UNTIL_CLOSE = 7;
 
     private final Reader reader;
--- a/src/main/java/honeygap/net/list/Registry.java
+++ b/src/main/java/honeygap/net/list/Registry.java
@@ -208,8 +208,8 @@
                 links.dropIdle(remote);
             }
             remote.address = at != null ? at : remote.address;
-            rules.listed(remote, builds.apply(release), locations.computeIfAbsent(zone, n -> new Location()), cell,
-                    state, startedAt);
+            rules.listed(remote, builds.apply(release), locations.computeIfAbsent(zone, n -> new Location()),
+                    cell, state, startedAt);
         };
     }
 
@@ -231,7 +231,8 @@
         int colon = words.lastIndexOf(':');
         if (colon > 0 && words.substring(0, colon).matches("[0-9.]+|\\[?[0-9a-fA-F:]+]?")) {
             try {
-                return new InetSocketAddress(words.substring(0, colon), Integer.parseInt(words.substring(colon + 1)));
+                return new InetSocketAddress(words.substring(0, colon),
+                        Integer.parseInt(words.substring(colon + 1)));
             } catch (IllegalArgumentException e) {
                 throw new Malformed("not an address: " + words);
             }
--- a/src/main/java/honeygap/net/pg/Statement.java
+++ b/src/main/java/honeygap/net/pg/Statement.java
@@ -22,7 +22,8 @@
     public boolean read(ByteBuffer body) {
         text = body;
         length = body.limit();
-        while (length > 0 && (body.get(length - 1) == 0 || body.get(length - 1) <= ' ' && body.get(length - 1) >= 0)) {
+        while (length > 0 && (body.get(length - 1) == 0 || body.get(length - 1) <= ' '
+                && body.get(length - 1) >= 0)) {
             length--;
         }
         id = method = tenant = key = null;
--- a/src/main/java/honeygap/net/pg/Words.java
+++ b/src/main/java/honeygap/net/pg/Words.java
@@ -21,7 +21,8 @@
     private static final ByteBuffer READY = message('Z', "I".getBytes(StandardCharsets.US_ASCII));
     private static final ByteBuffer EMPTY = join(message('I'), READY);
     private static final ByteBuffer SET = join(message('C', text("SET")), READY);
-    private static final ByteBuffer WELCOME = join(message('R', new byte[4]), setting("server_version", "16.0"),
+    private static final ByteBuffer WELCOME = join(message('R', new byte[4]),
+            setting("server_version", "16.0"),
             setting("server_encoding", "UTF8"), setting("client_encoding", "UTF8"),
             setting("standard_conforming_strings", "on"), message('K', new byte[8]), READY);
     private static final ByteBuffer LOGIN = login();
@@ -38,7 +39,8 @@
     }
 
     private static ByteBuffer message(char type, byte... body) {
-        return ByteBuffer.allocate(HEAD + body.length).put((byte) type).putInt(4 + body.length).put(body).flip();
+        ByteBuffer whole = ByteBuffer.allocate(HEAD + body.length);
+        return whole.put((byte) type).putInt(4 + body.length).put(body).flip();
     }
 
     private static ByteBuffer join(ByteBuffer... parts) {
@@ -55,7 +57,8 @@
 
     private static ByteBuffer login() {
         byte[] pairs = text("user\0backend\0database\0store\0");
-        return ByteBuffer.allocate(8 + pairs.length).putInt(8 + pairs.length).putInt(VERSION).put(pairs).flip();
+        ByteBuffer whole = ByteBuffer.allocate(8 + pairs.length);
+        return whole.putInt(8 + pairs.length).putInt(VERSION).put(pairs).flip();
     }
 
     /** Ready for the next query. */
@@ -96,7 +99,8 @@
 
     private static ByteBuffer errorOnly(String severity, String code, String words, long stayAwayMs) {
         String detail = stayAwayMs > 0 ? "D" + stayAwayMs + '\0' : "";
-        return message('E', text("S" + severity + "\0V" + severity + "\0C" + code + "\0M" + words + '\0' + detail));
+        return message('E', text("S" + severity + "\0V" + severity + "\0C" + code + "\0M" + words + '\0'
+                + detail));
     }
 
     /** A query: what stands before its time, the time, and what stands after it. */
--- a/src/test/java/honeygap/cli/MainTest.java
+++ b/src/test/java/honeygap/cli/MainTest.java
@@ -13,9 +13,12 @@
 class MainTest {
 
     @ParameterizedTest
-    @CsvSource({"'',2,'',a subcommand is missing", "balance,2,'',Unmatched argument", "wirehost x,2,'',Unmatched",
-        "wirehost,0,'',''", "--help,0,Usage: honeygap,''", "--version,0,honeygap ,''", "version,0,honeygap ,''",
-        "serve --help,0,Usage: honeygap serve,''", "serve --config nowhere.json,2,'',serve: nowhere.json: no such",
+    @CsvSource({"'',2,'',a subcommand is missing", "balance,2,'',Unmatched argument",
+            "wirehost x,2,'',Unmatched",
+        "wirehost,0,'',''", "--help,0,Usage: honeygap,''", "--version,0,honeygap ,''",
+        "version,0,honeygap ,''",
+        "serve --help,0,Usage: honeygap serve,''",
+        "serve --config nowhere.json,2,'',serve: nowhere.json: no such",
         "serve --config pom.xml,2,'',serve: pom.xml: not JSON"})
     void subcommands(String args, int status, String out, String err) throws IOException {
         ByteArrayOutputStream outBytes = new ByteArrayOutputStream();
--- /dev/null
+++ b/src/test/java/honeygap/net/AgentTest.java
@@ -0,0 +1,589 @@
+package honeygap.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import honeygap.read.Fields;
+import honeygap.read.Malformed;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The agent among stand-ins on loopback ports that the system gives out. */
+@Timeout(value = 30, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class AgentTest {
+
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private Agent agent;
+
+    @AfterEach
+    void close() throws Exception {
+        if (agent != null) {
+            agent.end();
+        }
+        for (AutoCloseable peer : open) {
+            peer.close();
+        }
+    }
+
+    /** A peer that plays one script a connection, or one a statement or call; the last one over again. */
+    private class StandIn implements AutoCloseable {
+
+        final String[] scripts;
+        final AtomicInteger played = new AtomicInteger();
+        final AtomicInteger connections = new AtomicInteger();
+        final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+        final ServerSocket server;
+        private final List<Socket> sockets = new ArrayList<>();
+
+        StandIn(String scripts) throws IOException {
+            this.scripts = scripts.split(" ");
+            server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            open.add(this);
+            if (scripts.equals("refused")) {
+                server.close();
+            } else {
+                thread(() -> {
+                    while (true) {
+                        Socket socket = server.accept();
+                        sockets.add(socket);
+                        socket.setTcpNoDelay(true);
+                        connections.incrementAndGet();
+                        thread(() -> play(socket, new DataInputStream(socket.getInputStream()),
+                                socket.getOutputStream()));
+                    }
+                });
+            }
+        }
+
+        void play(Socket socket, DataInputStream in, OutputStream out) throws IOException {
+            String head = head(in);
+            String script = next();
+            heard.add(head.substring(head.lastIndexOf('\n') + 1));
+            switch (script) {
+                case "silent":
+                    in.read();
+                    break;
+                case "reset":
+                    break;
+                default:
+                    byte[] answer = answer(script);
+                    for (int i = 0; i < answer.length; i++) {
+                        out.write(answer, i, 1);
+                    }
+                    in.read();
+            }
+            socket.close();
+        }
+
+        byte[] answer(String script) {
+            return script.replace("~", "\r\n").replace('_', ' ').getBytes(StandardCharsets.UTF_8);
+        }
+
+        String next() {
+            return scripts[Math.min(played.getAndIncrement(), scripts.length - 1)];
+        }
+
+        /** A head and, where its length is given, a body. */
+        String head(DataInputStream in) throws IOException {
+            StringBuilder head = new StringBuilder();
+            while (head.indexOf("\r\n\r\n") < 0) {
+                head.append((char) in.readUnsignedByte());
+            }
+            int at = head.indexOf("Content-Length: ");
+            int length = at < 0 ? 0 : Integer.parseInt(head.substring(at + 16, head.indexOf("\r", at)));
+            return head + new String(in.readNBytes(length), StandardCharsets.US_ASCII);
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+            for (Socket socket : new ArrayList<>(sockets)) {
+                socket.close();
+            }
+        }
+    }
+
+    private interface Task {
+        void run() throws IOException;
+    }
+
+    private static void thread(Task task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (IOException e) {
+                // The other side has closed.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /**
+     * An appliance: one script a statement, or for the whole of a connection where it is about the startup.
+     */
+    private final class Fleet extends StandIn {
+
+        String value = "v1";
+
+        Fleet(String scripts) throws IOException {
+            super(scripts);
+        }
+
+        @Override
+        void play(Socket socket, DataInputStream in, OutputStream out) throws IOException {
+            in.readNBytes(in.readInt() - 4);
+            if (scripts[0].equals("startupsilent")) {
+                in.read();
+            }
+            if (scripts[0].equals("startupfull")) {
+                out.write(message('E', "SFATAL\0C53300\0Mfull\0\0"));
+                socket.close();
+                return;
+            }
+            out.write(message('R', "\0\0\0\0"));
+            out.write(message('Z', "I"));
+            while (true) {
+                in.readByte();
+                heard.add(new String(in.readNBytes(in.readInt() - 4), StandardCharsets.UTF_8).replace("\0",
+                        ""));
+                byte[] row = join(message('S', "health\0inflight=7,util=0.61\0"), message('T',
+                        "\0\1content\0"),
+                        message('D', "\0\1\0\0\0\2" + value), message('C', "SELECT 1\0"), message('Z', "I"));
+                switch (next()) {
+                    case "ok":
+                        out.write(row);
+                        break;
+                    case "bytes":
+                        for (byte one : row) {
+                            out.write(one);
+                        }
+                        break;
+                    case "error":
+                        out.write(join(message('E', "SERROR\0CXX000\0Mx\0\0"), message('Z', "I")));
+                        break;
+                    case "full":
+                        out.write(join(message('E', "SERROR\0C53300\0Mx\0\0"), message('Z', "I")));
+                        break;
+                    case "half":
+                        out.write(row, 0, 60);
+                        socket.close();
+                        return;
+                    case "garbage":
+                        out.write(message('?', "what"));
+                        break;
+                    case "norow":
+                        out.write(join(message('C', "SELECT 0\0"), message('Z', "I")));
+                        break;
+                    case "reset":
+                        socket.close();
+                        return;
+                    case "okclose":
+                        out.write(row);
+                        socket.close();
+                        return;
+                    default:
+                        break;
+                }
+            }
+        }
+    }
+
+    private static byte[] message(char type, String body) {
+        byte[] bytes = body.getBytes(StandardCharsets.ISO_8859_1);
+        return ByteBuffer.allocate(5 + bytes.length).put((byte) type).putInt(4
+                + bytes.length).put(bytes).array();
+    }
+
+    private static byte[] join(byte[]... parts) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        for (byte[] part : parts) {
+            all.writeBytes(part);
+        }
+        return all.toByteArray();
+    }
+
+    /** A client; what it hears back as words. */
+    private final class Caller implements AutoCloseable {
+
+        final Socket socket;
+        final DataInputStream in;
+        final OutputStream out;
+
+        Caller() throws IOException {
+            socket = new Socket(agent.address().getAddress(), agent.address().getPort());
+            socket.setTcpNoDelay(true);
+            socket.setSoTimeout(10_000);
+            open.add(this);
+            in = new DataInputStream(socket.getInputStream());
+            out = socket.getOutputStream();
+        }
+
+        /** Until ready for the next query, or the end. */
+        String hear() throws IOException {
+            StringBuilder words = new StringBuilder();
+            try {
+                while (true) {
+                    char type = (char) in.readUnsignedByte();
+                    String body = new String(in.readNBytes(in.readInt() - 4), StandardCharsets.ISO_8859_1);
+                    if (type == 'Z') {
+                        return words.toString();
+                    }
+                    if (type == 'D') {
+                        words.append("ok:").append(body.substring(6));
+                    } else if (type == 'E') {
+                        words.append(body, body.indexOf("\0C") + 2, body.indexOf("\0M"));
+                        words.append(body.contains("\0D") ? "+" : "");
+                    } else if (type == 'I') {
+                        words.append("empty");
+                    }
+                }
+            } catch (IOException e) {
+                return words + "end";
+            }
+        }
+
+        Caller hello() throws IOException {
+            out.write(STARTUP);
+            hear();
+            return this;
+        }
+
+        String ask(String method, int ms) throws IOException {
+            out.write(query(statement(method, ms)));
+            return hear();
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    private static final byte[] STARTUP = startup(196608);
+
+    private static byte[] startup(int version) {
+        byte[] pairs = "user\0backend\0database\0store\0\0".getBytes(StandardCharsets.UTF_8);
+        return ByteBuffer.allocate(8 + pairs.length).putInt(8
+                + pairs.length).putInt(version).put(pairs).array();
+    }
+
+    private static byte[] query(String words) {
+        return message('Q', words + '\0');
+    }
+
+    private static String statement(String method, int ms) {
+        return "SELECT content FROM kv WHERE name = '7f3a' /* id=9b1f,c=" + method + ",t=acme,d=" + ms
+                + ",k=5c0f */";
+    }
+
+    private static String entry(String name, StandIn at, String status, int release) {
+        return "{'name':'" + name + "','address':'" + at.address() + "','zone':'a','group':3,'status':'"
+                + status
+                + "','since_ms':0,'release':" + release + "}";
+    }
+
+    private void start(String known, String settings, StandIn list, StandIn desk, int sockets)
+            throws IOException, Malformed {
+        String config = "{'listen':'127.0.0.1:0','discovery':'" + list.address()
+                + "','seed':'8c1f30d27a5be964',"
+                + "'limits':{'sockets':" + sockets + "},'rollouts':{'address':'" + desk.address()
+                + "','news':"
+                + "{'Revision':2,'Wave':0,'State':'Progressing','MaxShare':1,'AgeMs':100000}},"
+                + "'known':{'index':41,'snapshot':true,'endpoints':[" + known
+                + "]},'settings':{'TickNs':5000000,"
+                + "'Classes':[{'Name':'read','AimNs':1000000000,'Effect':'read_like','GiveUpNs':3000000000},"
+                + "{'Name':'book','AimNs':1000000000,'Effect':'idempotency_key','GiveUpNs':3000000000,"
+                + "'KeyScope':'zone','WindowNs':5000000000},"
+                + "{'Name':'assign','AimNs':1000000000,'Effect':'non_idempotent','GiveUpNs':3000000000}],"
+                + "'Ceilings':{'MaxAttempts':2,'ConnectTimeoutNs':100000000,'RetryAfter':true,"
+                + "'MaxRetryAfterNs':500000000},'Rules':{'MustAskInNs':1200000000}," + settings
+                + "'FamilyInfo':{'VoteStandsNs':10000000000,'CallTimeoutNs':300000000,'VotesPerS':30,"
+                + "'Caps':[1,1],'Waves':[0.5,1],'WindowNs':2000000000,'Uncounted':1}}}";
+        try (JsonParser parser = new JsonFactory().createParser(config.replace('\'', '"'))) {
+            parser.nextToken();
+            agent = new Agent(new Loop(), Fields.read(parser));
+        }
+        agent.start();
+    }
+
+    private void start(StandIn fleet) throws IOException, Malformed {
+        StandIn nobody = new StandIn("refused");
+        start(entry("s-1", fleet, "SERVING", 1), "", nobody, nobody, 1024);
+    }
+
+    /** Every row of the protocol's table: what the client hears, and how many statements came through. */
+    @ParameterizedTest
+    @CsvSource({
+        "assign,ok,ok:v1,1", "assign,bytes,ok:v1,1", "assign,okclose,ok:v1,1",
+        "assign,error ok,58000,1", "read,error ok,ok:v1,2", "book,error ok,ok:v1,2",
+        "assign,full ok,ok:v1,2", "assign,full,53300+,2",
+        "assign,refused,53300+,0", "assign,startupfull,53300+,0", "assign,startupsilent,53300+,0",
+        "assign,reset ok,58000,1", "read,reset ok,ok:v1,2", "book,reset,58000,2",
+        "assign,half ok,58000,1", "assign,garbage ok,58000,1", "assign,norow ok,58000,1",
+        "assign,silent ok,58000,1", "read,silent,58000,1"})
+    void outcomes(String method, String scripts, String answer, int statements) throws Exception {
+        Fleet fleet = new Fleet(scripts);
+        start(fleet);
+        Caller caller = new Caller().hello();
+        long asked = System.nanoTime();
+        assertEquals(answer, caller.ask(method, 600));
+        assertTrue(System.nanoTime() - asked < 650_000_000, "answered in time, with the protocol's slack");
+        assertEquals(statements, fleet.heard.size());
+        for (String heard : fleet.heard) {
+            int time = Integer.parseInt(heard.replaceAll(".*,d=(\\d+),.*", "$1"));
+            assertTrue(time > 0 && time <= 600, "time to wait " + time);
+            assertEquals(statement(method, 600).replace(",d=600", ""), heard.replaceAll(",d=\\d+", ""));
+        }
+    }
+
+    /** What clients may send, cut into pieces of a size: what they hear, answer by answer. */
+    @ParameterizedTest
+    @CsvSource({
+        "S Q:read Q:read,1,ok:v1|ok:v1", "S Q:read,10000,ok:v1", "T S E Q:read E,3,empty|ok:v1|empty",
+        "S E,1,empty", "S W:SET x = 1 W:DISCARD ALL;,5,|",
+        "S W:SELECT 1 Q:read,9,42601|ok:v1", "S Q:unheard Q:read,9,42601|ok:v1",
+        "S W:DROP TABLE kv /* id=1;c=read;d=9 */,50,42601", "S X Q:read,50,end",
+        "S P,50,08P01end", "S L,50,08P01end", "G,50,08P01end", "C,50,end"})
+    void clientForms(String sends, int size, String hears) throws Exception {
+        Fleet fleet = new Fleet("ok");
+        start(fleet);
+        Caller caller = new Caller();
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        for (String send : sends.split(" (?=[STEXPLGC]\\b|[QW]:)")) {
+            String words = send.substring(Math.min(2, send.length())).replace(';', ',');
+            switch (send.charAt(0)) {
+                case 'S' -> all.writeBytes(STARTUP);
+                case 'T' -> all.writeBytes(ByteBuffer.allocate(8).putInt(8).putInt(80877103).array());
+                case 'C' -> all.writeBytes(ByteBuffer.allocate(16).putInt(16).putInt(80877102).array());
+                case 'E' -> all.writeBytes(query(""));
+                case 'Q' -> all.writeBytes(query(statement(words, 900)));
+                case 'W' -> all.writeBytes(query(words));
+                case 'X' -> all.writeBytes(message('X', ""));
+                case 'P' -> all.writeBytes(message('P', "parse"));
+                case 'L' -> all.writeBytes(ByteBuffer.allocate(5).put((byte) 'Q').putInt(1 << 30).array());
+                default -> all.writeBytes(startup(1234));
+            }
+        }
+        byte[] bytes = all.toByteArray();
+        for (int i = 0; i < bytes.length; i += size) {
+            caller.out.write(bytes, i, Math.min(size, bytes.length - i));
+        }
+        if (sends.startsWith("T")) {
+            assertEquals('N', caller.in.read());
+        }
+        if (sends.contains("S ")) {
+            caller.hear();
+        }
+        for (String wanted : hears.split("\\|", -1)) {
+            assertEquals(wanted, caller.hear());
+        }
+        assertEquals(sends.contains("X") ? 0 : sends.split("Q:read", -1).length - 1, fleet.heard.size());
+    }
+
+    /** Values of 64 KiB to a client that reads only after it has asked for all of them. */
+    @ParameterizedTest
+    @CsvSource({"1", "60"})
+    void slowReader(int many) throws Exception {
+        Fleet fleet = new Fleet("ok");
+        fleet.value = "x".repeat(65536);
+        start(fleet);
+        Caller caller = new Caller().hello();
+        for (int i = 0; i < many; i++) {
+            caller.out.write(query(statement("read", 20_000)));
+        }
+        for (int i = 0; i < many; i++) {
+            assertEquals(65536 + 3, caller.hear().length());
+        }
+        assertTrue(fleet.connections.get() <= 2, "connections are used again");
+    }
+
+    /**
+     * More clients than descriptors: the one idle longest makes room, busy ones are answered, others pushed
+     * back.
+     */
+    @Test
+    void tooManyClients() throws Exception {
+        Fleet fleet = new Fleet("silent silent ok");
+        StandIn nobody = new StandIn("refused");
+        start(entry("s-1", fleet, "SERVING", 1), "", nobody, nobody, 64 + 4);
+        Caller idle = new Caller().hello();
+        Caller first = new Caller().hello();
+        first.out.write(query(statement("assign", 2000)));
+        Caller second = new Caller().hello();
+        assertEquals("end", idle.hear());
+        second.out.write(query(statement("assign", 2000)));
+        while (fleet.heard.size() < 2) {
+            Thread.onSpinWait();
+        }
+        Caller third = new Caller();
+        third.out.write(STARTUP);
+        assertEquals("53300end", third.hear());
+        assertEquals("58000", first.hear());
+        assertEquals("58000", second.hear());
+        assertEquals("ok:v1", second.ask("assign", 2000));
+    }
+
+    /** One RPC after another, for seconds at most, until one is answered so. */
+    private String askUntil(String answer) throws IOException {
+        Caller caller = new Caller().hello();
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        String heard = "";
+        while (!heard.equals(answer) && System.nanoTime() < until) {
+            heard = caller.ask("assign", 1000);
+        }
+        return heard;
+    }
+
+    /** The list in all its states, cut anywhere: the agent comes to know where to send, or not to. */
+    @ParameterizedTest
+    @CsvSource({
+        "WHOLE,ok:v1", "503 WHOLE,ok:v1", "reset WHOLE,ok:v1", "silent WHOLE,ok:v1", "GARBAGE WHOLE,ok:v1",
+        "BEAT-CHANGE,ok:v1", "HALF WHOLE,ok:v1", "DRAIN,53300+", "GONE,53300+", "BARE,ok:v1"})
+    void list(String scripts, String answer) throws Exception {
+        Fleet fleet = new Fleet("ok");
+        Fleet before = new Fleet("ok");
+        StandIn dead = new StandIn("refused");
+        String moved = entry("s-1", fleet, "SERVING", 1);
+        String whole = "{'index':42,'snapshot':true,'endpoints':[" + moved + "]}\n";
+        String change = "{'index':43,'snapshot':false,'endpoints':[%s]}\n";
+        StandIn list = new StandIn(scripts) {
+            @Override
+            byte[] answer(String script) {
+                String body = switch (script) {
+                    case "WHOLE", "BARE" -> whole;
+                    case "HALF" -> whole.substring(0, 40);
+                    case "BEAT-CHANGE" -> "\n\n" + String.format(change, moved);
+                    case "DRAIN" -> String.format(change, entry("s-1", before, "DRAINING", 1));
+                    case "GONE" -> String.format(change, "{'name':'s-1','status':'DELETED'}");
+                    default -> "{'what':\n";
+                };
+                body = body.replace('\'', '"');
+                if (script.equals("503")) {
+                    return super.answer("HTTP/1.1_503_no~Content-Length:_0~~");
+                }
+                int cut = body.length() / 2;
+                String chunks = Integer.toHexString(cut) + "\r\n" + body.substring(0, cut) + "\r\n"
+                        + Integer.toHexString(body.length() - cut) + "\r\n" + body.substring(cut) + "\r\n";
+                return script.equals("BARE") ? ("HTTP/1.1 200 OK\r\n\r\n"
+                        + body).getBytes(StandardCharsets.UTF_8)
+                        : ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks
+                        + (script.equals("HALF") ? "0\r\n\r\n" : "")).getBytes(StandardCharsets.UTF_8);
+            }
+        };
+        boolean ends = answer.startsWith("53300");
+        start(entry("s-1", ends ? before : dead, "SERVING", 1), "'RegistryMode':'ask',", list, dead, 1024);
+        assertEquals(answer, askUntil(answer));
+        assertTrue(list.heard.size() >= scripts.split(" ").length);
+    }
+
+    /** Each status of the desk's table: whether the vote is cast again, and that it says what it should. */
+    @ParameterizedTest
+    @CsvSource({
+        "200 200,1", "200:too_many_calls:400 200,2", "200:unavailable:500 200,2", "200:out_of_date:400 200,1",
+        "200:bad_request:400 200,2", "reset 200,2", "silent 200,2", "UNREADABLE 200,2"})
+    void votes(String scripts, int times) throws Exception {
+        Fleet fleet = new Fleet("ok");
+        StandIn nobody = new StandIn("refused");
+        StandIn desk = new StandIn(scripts) {
+            @Override
+            String head(DataInputStream in) throws IOException {
+                String head = super.head(in);
+                if (head.startsWith("GET")) {
+                    throw new IOException("no bulletin here");
+                }
+                return head;
+            }
+
+            @Override
+            byte[] answer(String script) {
+                String[] parts = script.split(":");
+                String body = parts.length > 1 ? "<Error><Code>" + parts[1] + "</Code></Error>"
+                        : script.equals("UNREADABLE") ? "<what/>"
+                        : "<?xml version=\"1.0\"?>\n<Response><entries>"
+                        + "<item><Revision>2</Revision><Wave>0</Wave><State>Progressing</State>"
+                        + "<MaxShare>0.28</MaxShare><AgeMs>100000</AgeMs></item></entries></Response>";
+                return ("HTTP/1.1 " + (parts.length > 1 ? parts[2] : "200") + " x\r\nContent-Length: "
+                        + body.length()
+                        + "\r\n\r\n" + body).getBytes(StandardCharsets.UTF_8);
+            }
+        };
+        start(entry("s-1", fleet, "SERVING", 1) + "," + entry("s-2", fleet, "SERVING", 2), "", nobody, desk,
+                1024);
+        for (int i = 0; i < times; i++) {
+            assertEquals("Action=RecordOpinion&Revision=2&Wave=0&Decision=on", desk.heard.poll(5,
+                    TimeUnit.SECONDS));
+        }
+        assertNull(desk.heard.poll(500, TimeUnit.MILLISECONDS));
+    }
+
+    /** News of a build going back stops picks to it, whether the stream came at once or after a failure. */
+    @ParameterizedTest
+    @CsvSource({"NEWS", "reset NEWS", "HTTP/1.1_500_x~Content-Length:_0~~ NEWS", "silent NEWS"})
+    void news(String scripts) throws Exception {
+        Fleet fleet = new Fleet("ok");
+        StandIn nobody = new StandIn("refused");
+        StandIn desk = new StandIn(scripts) {
+            @Override
+            byte[] answer(String script) {
+                return super.answer(script.equals("NEWS") ? "HTTP/1.1_200_OK~Transfer-Encoding:_chunked~~"
+                        + "3~:\n\n~"
+                        + "12~event:_progress\nda~4A~ta:_Revision=2&Wave=0&State=Aborting&MaxShare=0"
+                        + "&AgeMs=9\n\n:\nevent:_metrics\nda~5~ta:_x~4~x\n\n\n~" : script);
+            }
+        };
+        start(entry("s-2", fleet, "SERVING", 2), "", nobody, desk, 1024);
+        assertEquals("53300+", askUntil("53300+"));
+    }
+
+    /** Told to end, it answers what it has taken and what still comes, and ends when nothing is open. */
+    @Test
+    void leaving() throws Exception {
+        Fleet fleet = new Fleet("silent ok");
+        start(fleet);
+        Caller caller = new Caller().hello();
+        caller.out.write(query(statement("assign", 1200)));
+        CompletableFuture<Void> left = CompletableFuture.runAsync(() -> {
+            try {
+                agent.leave();
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        Caller late = new Caller().hello();
+        while (fleet.heard.isEmpty()) {
+            Thread.onSpinWait();
+        }
+        assertEquals("ok:v1", late.ask("read", 1000));
+        assertEquals("58000", caller.hear());
+        assertEquals("end", caller.hear());
+        assertEquals("end", late.hear());
+        left.get(10, TimeUnit.SECONDS);
+    }
+}
