--- a/src/main/java/honeygap/cli/Main.java
+++ b/src/main/java/honeygap/cli/Main.java
@@ -11,7 +11,7 @@
 @CommandLine.Command(name = "honeygap", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
         synopsisSubcommandLabel = "<subcommand>",
         description = "A proxy that tries out new builds on live traffic.",
-        subcommands = {Serve.class, VersionCommand.class})
+        subcommands = {Serve.class, Check.class, VersionCommand.class})
 public final class Main implements Runnable {
 
     @CommandLine.Spec
--- a/src/test/java/honeygap/cli/MainTest.java
+++ b/src/test/java/honeygap/cli/MainTest.java
@@ -19,7 +19,8 @@
         "version,0,honeygap ,''",
         "serve --help,0,Usage: honeygap serve,''",
         "serve --config nowhere.json,2,'',serve: nowhere.json: no such",
-        "serve --config pom.xml,2,'',serve: pom.xml: not JSON"})
+        "serve --config pom.xml,2,'',serve: pom.xml: not JSON",
+        "check --config nowhere.json,2,'',check: nowhere.json: no such file"})
     void subcommands(String args, int status, String out, String err) throws IOException {
         ByteArrayOutputStream outBytes = new ByteArrayOutputStream();
         ByteArrayOutputStream errBytes = new ByteArrayOutputStream();
