--- a/example/Toy.java
+++ b/example/Toy.java
@@ -25,7 +25,8 @@
     private static final int APPLIANCES = 6;
     private static final int OF_BUILD_1 = 4;
     private static final Map<Integer, Integer> SERVED = new ConcurrentHashMap<>();
-    private static final long START = System.nanoTime();
+    /** When an agent first came: the stage begins then. */
+    private static volatile long start;
     private static volatile boolean released;
 
     private interface Script {
@@ -80,7 +81,8 @@
 
     private static byte[] message(char type, String body) {
         byte[] bytes = body.getBytes(StandardCharsets.ISO_8859_1);
-        return ByteBuffer.allocate(5 + bytes.length).put((byte) type).putInt(4 + bytes.length).put(bytes).array();
+        return ByteBuffer.allocate(5 + bytes.length).put((byte) type).putInt(4
+                + bytes.length).put(bytes).array();
     }
 
     private static int build(int port) {
@@ -115,7 +117,8 @@
 
     private static void chunk(OutputStream out, String words) throws IOException {
         byte[] bytes = words.getBytes(StandardCharsets.UTF_8);
-        out.write((Integer.toHexString(bytes.length) + "\r\n" + words + "\r\n").getBytes(StandardCharsets.UTF_8));
+        out.write((Integer.toHexString(bytes.length) + "\r\n" + words
+                + "\r\n").getBytes(StandardCharsets.UTF_8));
     }
 
     private static void list(DataInputStream in, OutputStream out) throws Exception {
@@ -123,7 +126,8 @@
         StringBuilder entries = new StringBuilder();
         for (int i = 0; i < APPLIANCES; i++) {
             int port = FIRST_APPLIANCE + i;
-            entries.append(i == 0 ? "" : ",").append("{\"name\":\"toy-").append(port).append("\",\"address\":\"127.0.0.1:")
+            entries.append(i == 0 ? ""
+                    : ",").append("{\"name\":\"toy-").append(port).append("\",\"address\":\"127.0.0.1:")
                     .append(port).append("\",\"zone\":\"here\",\"group\":0,\"status\":\"SERVING\",\"since_ms\":0,")
                     .append("\"release\":").append(build(port)).append('}');
         }
@@ -137,17 +141,20 @@
 
     private static void desk(DataInputStream in, OutputStream out) throws Exception {
         String head = head(in);
+        start = start == 0 ? System.nanoTime() : start;
         if (head.startsWith("GET")) {
             out.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
                     .getBytes(StandardCharsets.US_ASCII));
-            chunk(out, "event: progress\ndata: Revision=2&Wave=0&State=" + state() + "&MaxShare=0.5&AgeMs=" + ageMs()
+            chunk(out, "event: progress\ndata: Revision=2&Wave=0&State=" + state() + "&MaxShare=0.5&AgeMs="
+                    + ageMs()
                     + "\n\n");
             while (true) {
                 Thread.sleep(1000);
                 chunk(out, ":\n\n");
             }
         }
-        System.out.println("a vote: " + head.substring(head.lastIndexOf('\n') + 1) + "; served by build " + SERVED);
+        System.out.println("a vote: " + head.substring(head.lastIndexOf('\n') + 1) + "; served by build "
+                + SERVED);
         // The one stage's clock has run for three seconds before an agent votes on; that releases build 2.
         released |= head.endsWith("Decision=on");
         String body = "<?xml version=\"1.0\"?>\n<Response><entries><item><Revision>2</Revision><Wave>0</Wave>"
@@ -162,7 +169,7 @@
     }
 
     private static long ageMs() {
-        return (System.nanoTime() - START) / 1_000_000;
+        return (System.nanoTime() - start) / 1_000_000;
     }
 
     private static void ask(int times) throws Exception {
@@ -172,7 +179,8 @@
             DataInputStream in = new DataInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
             byte[] pairs = "user\0backend\0database\0store\0\0".getBytes(StandardCharsets.US_ASCII);
-            out.write(ByteBuffer.allocate(8 + pairs.length).putInt(8 + pairs.length).putInt(196608).put(pairs).array());
+            out.write(ByteBuffer.allocate(8 + pairs.length).putInt(8
+                    + pairs.length).putInt(196608).put(pairs).array());
             answer(in);
             for (int i = 0; i < times; i++) {
                 out.write(message('Q', "SELECT content FROM kv WHERE name = 'key" + i + "' /* id=toy" + i
