What must hold is asserted and counted; one stream reader for the list and the desk's bulletin

A second final answer, a pick on a taken connection and a count of open RPCs below zero are asserted in debug builds and counted in release builds (counter broken); the tests end on that count. The watch and the bulletin had the same silence timer and line reader twice. Reconnects are spread by CRC32 over the seed and a counter, as chance is elsewhere.

--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -84,9 +84,8 @@
         InetSocketAddress deskAddress = Registry.address(desk.text("address"));
         long callTimeout = info.part("FamilyInfo").tenths("CallTimeoutNs", 20_000);
         ballots = new Ballots(loop, rules, news, deskAddress, desk.text("address"), callTimeout);
-        java.util.Random spread = new java.util.Random(seed);
         bulletin = new Bulletin(loop, news, deskAddress, desk.text("address"), Math.max(callTimeout, 30_000),
-                spread::nextDouble);
+                seed);
         if (told.has("known")) {
             registry.known(told.object("known"));
         }
@@ -114,8 +113,8 @@
     }
 
     private void report() {
-        Logger.info("turns {}, faults {}; {}; {}; {}; {}; {}", turns, Loop.faults(), clients, links, registry,
-                ballots, bulletin);
+        Logger.info("turns {}, faults {}, broken {}; {}; {}; {}; {}; {}", turns, Loop.faults(), Loop.broken(),
+                clients, links, registry, ballots, bulletin);
         loop.at(loop.now() + REPORT, this::report);
     }
 
--- a/src/main/java/honeygap/net/Loop.java
+++ b/src/main/java/honeygap/net/Loop.java
@@ -63,6 +63,8 @@
     /** Faults caught since the start: each is logged, none ends the loop. */
     private static final AtomicLong FAULTS = new AtomicLong();
 
+    private static final AtomicLong BROKEN = new AtomicLong();
+
     private static final long TENTHS_A_MS = 10;
     private static final long IDLE_WAIT_MS = 1000;
     private static final int READ_AT_FIRST = 4096;
@@ -115,6 +117,18 @@
         }
     }
 
+    /** What must hold: asserted in debug builds, counted in release builds. */
+    public static void holds(boolean condition) {
+        if (!condition) {
+            BROKEN.incrementAndGet();
+        }
+        assert condition;
+    }
+
+    public static long broken() {
+        return BROKEN.get();
+    }
+
     public static long faults() {
         return FAULTS.get();
     }
--- a/src/main/java/honeygap/net/appliances/Link.java
+++ b/src/main/java/honeygap/net/appliances/Link.java
@@ -73,6 +73,8 @@
 
     /** Takes a pick on, to be sent as soon as the connection is ready. */
     void carry(Call call, int index, long within) {
+        // One pick at a time, never on a connection that is over, nor for an RPC that has its answer.
+        Loop.holds(!over && this.call == null && !probing && !call.isAnswered());
         this.call = call;
         this.index = index;
         upTo = all.loop.now() + within;
--- a/src/main/java/honeygap/net/clients/Call.java
+++ b/src/main/java/honeygap/net/clients/Call.java
@@ -13,6 +13,7 @@
     private final ByteBuffer after;
     /** Who waits; null once the answer has been given or the client has left. */
     Client client;
+    private boolean answered;
     /** Answers in time whatever the rules do: a fault there must not lose an RPC. */
     Loop.Timer guard;
 
@@ -32,20 +33,33 @@
         return after;
     }
 
+    /** Guards against a second final answer, whoever gives it. */
+    private void once() {
+        Loop.holds(!answered);
+        answered = true;
+    }
+
+    public boolean isAnswered() {
+        return answered;
+    }
+
     /** Ok: the row as the appliance gave it. */
     public void answer(ByteBuffer... row) {
+        once();
         if (client != null) {
             client.answer(row);
         }
     }
 
     public void pushBack(long stayAwayMs) {
+        once();
         if (client != null) {
             client.pushBack(stayAwayMs);
         }
     }
 
     public void abort() {
+        once();
         if (client != null) {
             client.abort();
         }
--- a/src/main/java/honeygap/net/clients/Clients.java
+++ b/src/main/java/honeygap/net/clients/Clients.java
@@ -124,6 +124,7 @@
 
     void closed() {
         open--;
+        Loop.holds(open >= 0);
     }
 
     void malformed() {
--- a/src/main/java/honeygap/net/desk/Bulletin.java
+++ b/src/main/java/honeygap/net/desk/Bulletin.java
@@ -1,14 +1,12 @@
 package honeygap.net.desk;
 
 import honeygap.net.Loop;
-import honeygap.net.http.Answers;
-import honeygap.net.http.Connection;
-import honeygap.net.http.Lines;
+import honeygap.net.http.Stream;
 import honeygap.read.Malformed;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.function.DoubleSupplier;
+import java.util.zip.CRC32;
 
 /** Listens to what the desk tells without being asked; comes back by itself whenever that ends. */
 public final class Bulletin {
@@ -18,91 +16,56 @@
     private final InetSocketAddress address;
     private final String host;
     private final long silentFor;
-    private final DoubleSupplier chance;
+    private final long seed;
+    private String event = "";
     private long failures;
     private long unreadable;
 
     /** So long without a sign of life is a failure; a new try comes within that time, at random. */
     public Bulletin(Loop loop, News news, InetSocketAddress address, String host, long silentFor,
-                    DoubleSupplier chance) {
+                    long seed) {
         this.loop = loop;
         this.news = news;
         this.address = address;
         this.host = host;
         this.silentFor = silentFor;
-        this.chance = chance;
+        this.seed = seed;
     }
 
     public void listen() {
-        new Reading();
+        event = "";
+        new Stream(loop, address, host, "/bulletin", silentFor, silentFor, this::line, whole -> {
+            failures++;
+            loop.at(loop.now() + (long) (chance() * silentFor / 4), this::listen);
+        });
     }
 
-    private final class Reading implements Answers.Reader {
-
-        private final Connection connection;
-        private final Lines lines = new Lines(this::line);
-        private Loop.Timer silence;
-        private boolean over;
-        private String event = "";
-
-        Reading() {
-            silence = loop.at(loop.now() + silentFor, this::fail);
-            connection = new Connection(loop, address, this, handedOver -> fail());
-            connection.get(host, "/bulletin");
-        }
-
-        private void fail() {
-            if (!over) {
-                over = true;
-                failures++;
-                silence.callOff();
-                connection.close();
-                loop.at(loop.now() + (long) (chance.getAsDouble() * silentFor / 4), Bulletin.this::listen);
-            }
-        }
-
-        @Override
-        public void head(int status) {
-            if (status != 200) {
-                fail();
-            }
-        }
-
-        @Override
-        public void data(ByteBuffer bytes) throws Malformed {
-            if (!over) {
-                silence.callOff();
-                silence = loop.at(loop.now() + silentFor, this::fail);
-                lines.feed(bytes);
-            }
-        }
-
-        @Override
-        public void end() {
-            fail();
-        }
+    private double chance() {
+        CRC32 crc = new CRC32();
+        crc.update(ByteBuffer.allocate(16).putLong(seed).putLong(failures).array());
+        return crc.getValue() / 4294967296.0;
+    }
 
-        private void line(byte[] bytes, int length) {
-            String words = new String(bytes, 0, length, StandardCharsets.UTF_8);
-            if (words.isEmpty()) {
-                event = "";
-            } else if (words.startsWith("event:")) {
-                event = words.substring(6).strip();
-            } else if (words.startsWith("data:")) {
-                told(words.substring(5).strip());
-            }
+    private void line(byte[] bytes, int length) {
+        String words = new String(bytes, 0, length, StandardCharsets.UTF_8);
+        if (words.isEmpty()) {
+            event = "";
+        } else if (words.startsWith("event:")) {
+            event = words.substring(6).strip();
+        } else if (words.startsWith("data:")) {
+            told(words.substring(5).strip());
         }
+    }
 
-        private void told(String form) {
-            try {
-                if (event.equals("progress")) {
-                    loop.gather(news.progress(form));
-                } else if (event.equals("metrics")) {
-                    loop.gather(news.metrics(form));
-                }
-            } catch (Malformed e) {
-                unreadable++;
+    private void told(String form) {
+        try {
+            if (event.equals("progress")) {
+                loop.gather(news.progress(form));
+            } else if (event.equals("metrics")) {
+                loop.gather(news.metrics(form));
             }
+        } catch (Malformed e) {
+            unreadable++;
         }
     }
 
--- a/src/main/java/honeygap/net/list/Registry.java
+++ b/src/main/java/honeygap/net/list/Registry.java
@@ -10,14 +10,12 @@
 import honeygap.net.Loop;
 import honeygap.net.appliances.Links;
 import honeygap.net.appliances.Remote;
-import honeygap.net.http.Answers;
-import honeygap.net.http.Connection;
 import honeygap.net.http.Lines;
+import honeygap.net.http.Stream;
 import honeygap.read.Fields;
 import honeygap.read.Malformed;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -44,8 +42,10 @@
     private final Map<String, Remote> remotes = new HashMap<>();
     private final Map<String, Location> locations = new HashMap<>();
     private long version;
-    private Call watch;
-    private Call fetch;
+    private Stream watch;
+    private Stream fetch;
+    /** The watch has brought its first line. */
+    private boolean told;
     private long failures;
 
     public Registry(Loop loop, Rules rules, Links links, IntFunction<Build> builds, InetSocketAddress address,
@@ -69,94 +69,46 @@
         if (watch != null) {
             watch.close();
         }
-        watch = new Call(true);
-        watch.get("/registry/instances?stream=1&index=" + version);
+        told = false;
+        watch = stream("?stream=1&index=" + version, this::line, whole -> failed());
     }
 
     public void fetch() {
         if (fetch != null) {
             fetch.close();
         }
-        fetch = new Call(false);
-        fetch.get("/registry/instances");
-    }
-
-    /** A watch, or the whole list once. */
-    private final class Call implements Answers.Reader {
-
-        private final boolean watching;
-        private final Connection connection;
-        private final Lines lines = new Lines(this::line);
-        private Loop.Timer silence;
-        private boolean over;
-        private boolean told;
-
-        Call(boolean watching) {
-            this.watching = watching;
-            silence = loop.at(loop.now() + answerWithin, this::fail);
-            connection = new Connection(loop, address, this, handedOver -> fail());
-        }
-
-        void get(String path) {
-            connection.get(host, path);
-        }
-
-        void close() {
-            over = true;
-            silence.callOff();
-            connection.close();
-        }
-
-        private void fail() {
-            if (!over) {
-                failures++;
-                close();
-                loop.gather(rules::listFailed);
+        fetch = stream("", (bytes, length) -> {
+            if (length > 0) {
+                take(parse(bytes, length), false);
             }
-        }
-
-        @Override
-        public void head(int status) {
-            if (status != 200) {
-                fail();
+        }, whole -> {
+            if (!whole) {
+                failed();
             }
-        }
+        });
+    }
 
-        @Override
-        public void data(ByteBuffer bytes) throws Malformed {
-            if (!over) {
-                silence.callOff();
-                silence = loop.at(loop.now() + BEATS_TO_SILENCE * BEAT, this::fail);
-                lines.feed(bytes);
-            }
-        }
+    private Stream stream(String query, Lines.Reader reader, Stream.Ending ending) {
+        return new Stream(loop, address, host, "/registry/instances" + query, answerWithin,
+                BEATS_TO_SILENCE * BEAT, reader, ending);
+    }
 
-        private void line(byte[] bytes, int length) throws Malformed {
-            if (over) {
-                return;
-            }
-            if (length > 0) {
-                take(parse(bytes, length), false);
-            } else if (!told) {
-                // Nothing has changed since the version that was asked for.
-                loop.gather(() -> {
-                    rules.listBegins(false, false);
-                    rules.listEnds();
-                });
-            }
-            told = true;
-        }
+    private void failed() {
+        failures++;
+        loop.gather(rules::listFailed);
+    }
 
-        @Override
-        public void end() throws Malformed {
-            if (watching) {
-                fail();
-                return;
-            }
-            // The whole list may come without the end of its line.
-            lines.feed(ByteBuffer.wrap(new byte[] {'\n'}));
-            close();
+    private void line(byte[] bytes, int length) throws Malformed {
+        if (length > 0) {
+            take(parse(bytes, length), false);
+        } else if (!told) {
+            // Nothing has changed since the version that was asked for.
+            loop.gather(() -> {
+                rules.listBegins(false, false);
+                rules.listEnds();
+            });
         }
+        told = true;
     }
 
     private Fields parse(byte[] bytes, int length) throws Malformed {
--- a/src/test/java/honeygap/net/AgentTest.java
+++ b/src/test/java/honeygap/net/AgentTest.java
@@ -39,6 +39,7 @@
 
     @AfterEach
     void close() throws Exception {
+        assertEquals(0, Loop.broken());
         if (agent != null) {
             agent.end();
         }
