Nothing sent for an RPC left while its connection came up; errors of any kind end one connection only

Found by reading the change once more, each with a test: - Link.idle sent a statement for an RPC whose client had left, or that the guard had answered, while the connection to the appliance came up.

--- a/src/main/java/honeygap/net/Door.java
+++ b/src/main/java/honeygap/net/Door.java
@@ -1,6 +1,5 @@
 package honeygap.net;
 
-import java.nio.ByteBuffer;
 import java.util.function.Supplier;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.service.IoHandlerAdapter;
@@ -32,25 +31,32 @@
 
     @Override
     public void sessionOpened(IoSession session) {
-        peer(session).opened(session);
+        guarded(session, () -> peer(session).opened(session));
     }
 
     @Override
     public void messageReceived(IoSession session, Object message) {
-        ByteBuffer bytes = ((IoBuffer) message).buf();
-        peer(session).received(bytes);
+        guarded(session, () -> peer(session).received(((IoBuffer) message).buf()));
     }
 
     @Override
     public void messageSent(IoSession session, Object message) {
-        peer(session).written();
+        guarded(session, peer(session)::written);
     }
 
     @Override
     public void sessionClosed(IoSession session) {
-        Peer peer = peer(session);
-        if (peer != null) {
-            peer.closed();
+        if (peer(session) != null) {
+            Loop.guarded(peer(session)::closed);
+        }
+    }
+
+    /** MINA lets an Error end its thread: a connection that brings one is closed instead. */
+    private static void guarded(IoSession session, Runnable told) {
+        long faults = Loop.faults();
+        Loop.guarded(told);
+        if (Loop.faults() > faults) {
+            session.closeNow();
         }
     }
 
--- a/src/main/java/honeygap/net/Loop.java
+++ b/src/main/java/honeygap/net/Loop.java
@@ -235,7 +235,7 @@
                 if (processor != null) {
                     processor.run();
                 }
-            } catch (InterruptedException | RuntimeException e) {
+            } catch (InterruptedException | RuntimeException | Error e) {
                 fault(e);
             }
         }
@@ -270,15 +270,16 @@
             while (more) {
                 more = core.next();
             }
-        } catch (RuntimeException | StackOverflowError | AssertionError e) {
+        } catch (RuntimeException | Error e) {
             fault(e);
         }
     }
 
-    private static void guarded(Runnable task) {
+    /** Nothing that a peer or the module does wrong ends the loop. */
+    static void guarded(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException | StackOverflowError | AssertionError e) {
+        } catch (RuntimeException | Error e) {
             fault(e);
         }
     }
--- a/src/main/java/honeygap/net/appliances/Link.java
+++ b/src/main/java/honeygap/net/appliances/Link.java
@@ -213,6 +213,12 @@
         probing &= !ready;
         ready = true;
         answer.clear();
+        if (call != null && call.closed) {
+            // Guards against sending for an RPC that was answered, or left, while the connection came up.
+            Call done = call;
+            call = null;
+            all.ended(done, index, Pick.MOOT);
+        }
         if (call != null) {
             send();
         } else if (probing) {
--- a/src/main/java/honeygap/net/appliances/Links.java
+++ b/src/main/java/honeygap/net/appliances/Links.java
@@ -118,7 +118,9 @@
     @Override
     public String toString() {
         return String.format("links %d, opened %d, ok %d, error %d, full %d, timeout %d, no connection %d,"
-                + " reset %d, cancelled %d, moot %d, unreadable %d", links.size(), opened, outcomes[0],
-                outcomes[1], outcomes[2], outcomes[3], outcomes[4], outcomes[5], outcomes[6], outcomes[7], unreadable);
+                + " reset %d, cancelled %d, moot %d, unreadable %d", links.size(), opened, outcomes[Pick.OK],
+                outcomes[Pick.ERROR], outcomes[Pick.FULL], outcomes[Pick.TIMEOUT],
+                outcomes[Pick.CONNECT_FAILED], outcomes[Pick.RESET], outcomes[Pick.CANCELLED],
+                outcomes[Pick.MOOT], unreadable);
     }
 }
--- a/src/main/java/honeygap/net/clients/Client.java
+++ b/src/main/java/honeygap/net/clients/Client.java
@@ -50,10 +50,11 @@
             return;
         }
         frames.feed(bytes);
-        if (frames.waiting() > LONGEST) {
+        advance();
+        // Behind an open RPC no more is kept than one statement; what is half read is never that long.
+        if (frames.waiting() > LONGEST && !ending) {
             session.suspendRead();
         }
-        advance();
     }
 
     @Override
--- a/src/main/java/honeygap/net/http/Stream.java
+++ b/src/main/java/honeygap/net/http/Stream.java
@@ -5,7 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 
-/** A GET whose answer may stay open: read line by line, over when it ends, fails or is silent for too long. */
+/** A GET whose answer may stay open: read by lines, over when it ends, fails or is silent for too long. */
 public final class Stream implements Answers.Reader {
 
     /** Hears, once, that it is over: whether the answer ended as an answer does. */
--- a/src/main/java/honeygap/net/list/Registry.java
+++ b/src/main/java/honeygap/net/list/Registry.java
@@ -42,6 +42,7 @@
     private final Map<String, Remote> remotes = new HashMap<>();
     private final Map<String, Location> locations = new HashMap<>();
     private long version;
+    private long named;
     private Stream watch;
     private Stream fetch;
     /** The watch has brought its first line. */
@@ -155,7 +156,7 @@
         String zone = entry.text("zone", "");
         int cell = entry.has("group") ? entry.rounded("group") : 0;
         return () -> {
-            Remote remote = remotes.computeIfAbsent(name, n -> new Remote(remotes.size(), n));
+            Remote remote = remotes.computeIfAbsent(name, n -> new Remote(named++, n));
             if (at != null && !at.equals(remote.address) || remote.startedAt != startedAt) {
                 links.dropIdle(remote);
             }
--- a/src/test/java/honeygap/net/AgentTest.java
+++ b/src/test/java/honeygap/net/AgentTest.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -152,6 +153,7 @@
     private final class Fleet extends StandIn {
 
         String value = "v1";
+        final CountDownLatch go = new CountDownLatch(1);
 
         Fleet(String scripts) throws IOException {
             super(scripts);
@@ -163,6 +165,13 @@
             if (scripts[0].equals("startupsilent")) {
                 in.read();
             }
+            if (scripts[0].equals("startupwaits")) {
+                try {
+                    go.await();
+                } catch (InterruptedException e) {
+                    return;
+                }
+            }
             if (scripts[0].equals("startupfull")) {
                 out.write(message('E', "SFATAL\0C53300\0Mfull\0\0"));
                 socket.close();
@@ -408,6 +417,25 @@
         assertEquals(sends.contains("X") ? 0 : sends.split("Q:read", -1).length - 1, fleet.heard.size());
     }
 
+    /** Nothing is sent for an RPC whose client left while the connection for its pick came up. */
+    @Test
+    void leftWhileConnecting() throws Exception {
+        Fleet fleet = new Fleet("startupwaits ok");
+        start(fleet);
+        Caller gone = new Caller().hello();
+        gone.out.write(query(statement("read", 900)));
+        while (fleet.connections.get() == 0) {
+            Thread.onSpinWait();
+        }
+        gone.close();
+        Caller next = new Caller().hello();
+        fleet.go.countDown();
+        fleet.scripts[0] = "ok";
+        assertEquals("ok:v1", next.ask("assign", 900));
+        assertEquals(1, fleet.heard.size());
+        assertTrue(fleet.heard.peek().contains(",c=assign,"));
+    }
+
     /** Values of 64 KiB to a client that reads only after it has asked for all of them. */
     @ParameterizedTest
     @CsvSource({"1", "60"})
--- /dev/null
+++ b/src/test/java/honeygap/net/LoopTest.java
@@ -0,0 +1,101 @@
+package honeygap.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.mina.core.session.IoSession;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+@Timeout(value = 30, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class LoopTest {
+
+    /** What a peer throws ends its connection, counted; the next is served, timers go on throughout. */
+    @ParameterizedTest
+    @ValueSource(classes = {IllegalStateException.class, StackOverflowError.class, OutOfMemoryError.class})
+    void faults(Class<? extends Throwable> kind) throws Exception {
+        long faults = Loop.faults();
+        Loop loop = new Loop();
+        AtomicInteger comers = new AtomicInteger();
+        loop.start(new Loop.Core() {
+            @Override
+            public void now(long now) {
+            }
+
+            @Override
+            public boolean next() {
+                return false;
+            }
+        });
+        assertTrue(fires(loop), "a timer before any connection");
+        loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 10,
+                () -> new Echo(comers.getAndIncrement() == 0 ? kind : null));
+        assertEquals(-1, echo(loop));
+        assertTrue(fires(loop), "a timer after the only connection");
+        assertEquals('x', echo(loop));
+        assertEquals(faults + 1, Loop.faults());
+        loop.end();
+    }
+
+    private static boolean fires(Loop loop) throws InterruptedException {
+        CountDownLatch fired = new CountDownLatch(1);
+        loop.post(() -> loop.at(loop.now() + 10, fired::countDown));
+        return fired.await(10, TimeUnit.SECONDS);
+    }
+
+    private static int echo(Loop loop) throws Exception {
+        try (Socket socket = new Socket(loop.address().getAddress(), loop.address().getPort())) {
+            socket.getOutputStream().write('x');
+            return socket.getInputStream().read();
+        }
+    }
+
+    private static final class Echo implements Peer {
+
+        private final Class<? extends Throwable> fault;
+        private IoSession session;
+
+        Echo(Class<? extends Throwable> fault) {
+            this.fault = fault;
+        }
+
+        @Override
+        public void opened(IoSession session) {
+            this.session = session;
+        }
+
+        @Override
+        public void unreachable() {
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            if (fault == IllegalStateException.class) {
+                throw new IllegalStateException("for the test");
+            }
+            if (fault == StackOverflowError.class) {
+                throw new StackOverflowError("for the test");
+            }
+            if (fault == OutOfMemoryError.class) {
+                throw new OutOfMemoryError("for the test");
+            }
+            session.write(new Gathered(bytes));
+        }
+
+        @Override
+        public void written() {
+        }
+
+        @Override
+        public void closed() {
+        }
+    }
+}
