--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -51,7 +51,6 @@
     private final Fields info;
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Map<Integer, Build> builds = new HashMap<>();
-    private long now;
     private long turns;
 
     public Agent(Loop loop, Fields told) throws Malformed {
--- a/src/main/java/honeygap/net/Rehearsal.java
+++ b/src/main/java/honeygap/net/Rehearsal.java
@@ -15,7 +15,6 @@
 import honeygap.read.Deployment;
 import honeygap.read.Fields;
 import honeygap.read.Malformed;
-import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.List;
 
--- a/src/main/java/honeygap/read/Malformed.java
+++ b/src/main/java/honeygap/read/Malformed.java
@@ -1,6 +1,6 @@
 package honeygap.read;
 
-/** What the simulator sent does not make sense; the message names the fault. */
+/** What came in does not make sense; the message names the fault. */
 public final class Malformed extends Exception {
 
     private static final long serialVersionUID = 1L;
