Read once more: one wake marker, one document reader, addresses as fields, Link's timers in one place

- Loop.post left a marker in a queue for each call from another thread, and while the processor ran nobody took them out: a queue that grew with each failed connection.
One marker at most now.
Found by reading; no test, since only the length of a private queue would show it.
- The first token of a JSON document was checked in three places (Configured, Registry, WireHost): Fields.document.
- Addresses were parsed by the list's class for everybody: Fields.address.
The Host of a request was carried through five classes beside the address that it says again: Connection derives it.
- Link ended picks in three places and set its timer in five: settle and due.
Loop.decide caught what guarded catches; Door compared fault counts where guarded can say whether it went well.
- Dead: Clients.open, Remote.name, the result of Answers.close.

Behaviour as before.

--- a/src/main/java/honeygap/cli/Configured.java
+++ b/src/main/java/honeygap/cli/Configured.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.JsonToken;
 import honeygap.net.Agent;
 import honeygap.net.Loop;
 import honeygap.read.Fields;
@@ -57,10 +56,7 @@
 
     private static Fields read(Path file) throws IOException, Malformed {
         try (JsonParser parser = new JsonFactory().createParser(Files.readAllBytes(file))) {
-            if (parser.nextToken() != JsonToken.START_OBJECT) {
-                throw new Malformed("not an object");
-            }
-            return Fields.read(parser);
+            return Fields.document(parser);
         }
     }
 }
--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -64,7 +64,7 @@
         } catch (NumberFormatException e) {
             throw new Malformed("field seed is not a number in hexadecimal");
         }
-        listen = Registry.address(told.text("listen"));
+        listen = told.address("listen");
         // A client's connection may need one to an appliance.
         most = Math.max(2, told.part("limits").index("sockets", 1024) - RESERVE) / 2;
         rules = Deployment.rules(loop.clock(), seed, methods, info);
@@ -77,14 +77,12 @@
                 builds.computeIfAbsent(number, n -> new Build(n, methods.size()));
         clients = new Clients(loop, rules, names, info, most);
         links = new Links(loop, rules, info, most);
-        registry = new Registry(loop, rules, links, build, Registry.address(told.text("discovery")),
-                told.text("discovery"), info);
+        registry = new Registry(loop, rules, links, build, told.address("discovery"), info);
         News news = new News(loop, rules, build, names);
-        InetSocketAddress deskAddress = Registry.address(desk.text("address"));
+        InetSocketAddress deskAddress = desk.address("address");
         long callTimeout = info.part("FamilyInfo").tenths("CallTimeoutNs", 20_000);
-        ballots = new Ballots(loop, rules, news, deskAddress, desk.text("address"), callTimeout);
-        bulletin = new Bulletin(loop, news, deskAddress, desk.text("address"), Math.max(callTimeout, 30_000),
-                seed);
+        ballots = new Ballots(loop, rules, news, deskAddress, callTimeout);
+        bulletin = new Bulletin(loop, news, deskAddress, Math.max(callTimeout, 30_000), seed);
         if (told.has("known")) {
             registry.known(told.object("known"));
         }
--- a/src/main/java/honeygap/net/Door.java
+++ b/src/main/java/honeygap/net/Door.java
@@ -1,5 +1,6 @@
 package honeygap.net;
 
+import java.io.IOException;
 import java.util.function.Supplier;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.service.IoHandlerAdapter;
@@ -53,16 +54,14 @@
 
     /** MINA lets an Error end its thread: a connection that brings one is closed instead. */
     private static void guarded(IoSession session, Runnable told) {
-        long faults = Loop.faults();
-        Loop.guarded(told);
-        if (Loop.faults() > faults) {
+        if (!Loop.guarded(told)) {
             session.closeNow();
         }
     }
 
     @Override
     public void exceptionCaught(IoSession session, Throwable cause) {
-        if (!(cause instanceof java.io.IOException)) {
+        if (!(cause instanceof IOException)) {
             Loop.fault(cause);
         }
         session.closeNow();
--- a/src/main/java/honeygap/net/Loop.java
+++ b/src/main/java/honeygap/net/Loop.java
@@ -187,7 +187,10 @@
     public void post(Runnable task) {
         posted.add(task);
         if (!isCurrent()) {
-            processors.offer(() -> { });
+            // One is enough to end the wait, and while a processor runs nobody takes them out.
+            if (processors.isEmpty()) {
+                processors.offer(() -> { });
+            }
             turns.wake();
         }
     }
@@ -231,7 +234,7 @@
         while (!over) {
             try {
                 turn();
-                Runnable processor = processors.poll(Math.max(0, untilDue()), TimeUnit.MILLISECONDS);
+                Runnable processor = processors.poll(untilDue(), TimeUnit.MILLISECONDS);
                 if (processor != null) {
                     processor.run();
                 }
@@ -259,28 +262,26 @@
             for (Runnable told = gathered.poll(); told != null; told = gathered.poll()) {
                 guarded(told);
             }
-            decide();
+            guarded(this::decide);
             more = !gathered.isEmpty() || !posted.isEmpty();
         }
     }
 
     private void decide() {
-        try {
-            boolean more = true;
-            while (more) {
-                more = core.next();
-            }
-        } catch (RuntimeException | Error e) {
-            fault(e);
+        boolean more = true;
+        while (more) {
+            more = core.next();
         }
     }
 
-    /** Nothing that a peer or the module does wrong ends the loop. */
-    static void guarded(Runnable task) {
+    /** Nothing that a peer or the module does wrong ends the loop; whether it went well. */
+    static boolean guarded(Runnable task) {
         try {
             task.run();
+            return true;
         } catch (RuntimeException | Error e) {
             fault(e);
+            return false;
         }
     }
 
--- a/src/main/java/honeygap/net/appliances/Link.java
+++ b/src/main/java/honeygap/net/appliances/Link.java
@@ -52,7 +52,7 @@
     /** Opens the connection where that has not been done. */
     void connect(long within) {
         if (connecting == null) {
-            timer = all.loop.at(all.loop.now() + within, this::late);
+            due(all.loop.now() + within, this::late);
             connecting = all.loop.connect(remote.address, this);
         }
     }
@@ -66,8 +66,7 @@
     }
 
     private void sendProbe() {
-        timer.callOff();
-        timer = all.loop.at(all.loop.now() + all.connectWithin, this::late);
+        due(all.loop.now() + all.connectWithin, this::late);
         session.write(new Gathered(Words.query("SELECT 1")));
     }
 
@@ -85,10 +84,7 @@
     }
 
     private void send() {
-        if (timer != null) {
-            timer.callOff();
-        }
-        timer = all.loop.at(upTo, this::late);
+        due(upTo, this::late);
         answer.clear();
         rowSeen = false;
         long left = Math.max(1, (upTo - all.loop.clock()) / 10);
@@ -215,40 +211,48 @@
         answer.clear();
         if (call != null && call.closed) {
             // Guards against sending for an RPC that was answered, or left, while the connection came up.
-            Call done = call;
-            call = null;
-            all.ended(done, index, Pick.MOOT);
+            settle(Pick.MOOT);
         }
         if (call != null) {
             send();
         } else if (probing) {
             sendProbe();
         } else {
-            timer.callOff();
-            timer = all.rest(this);
+            due(all.loop.now() + all.idleFor, () -> end(Pick.CANCELLED));
+            all.rest(this);
         }
     }
 
     private Call finish(int outcome) {
+        // What follows the answer must come soon, or the connection is of no use.
+        due(all.loop.now() + all.connectWithin, () -> end(Pick.CANCELLED));
+        return settle(outcome);
+    }
+
+    /** The pick on it has ended. */
+    private Call settle(int outcome) {
         Call done = call;
         call = null;
         handedOver = false;
-        timer.callOff();
-        // What follows the answer must come soon, or the connection is of no use.
-        timer = all.loop.at(all.loop.now() + all.connectWithin, () -> end(Pick.CANCELLED));
         all.ended(done, index, outcome);
         return done;
     }
 
+    /** What becomes of it by then unless something else comes first. */
+    private void due(long at, Runnable then) {
+        if (timer != null) {
+            timer.callOff();
+        }
+        timer = all.loop.at(at, then);
+    }
+
     /** Closes the connection at once; a pick still on it ends so. */
     void end(int outcome) {
         if (over) {
             return;
         }
         over = true;
-        if (timer != null) {
-            timer.callOff();
-        }
+        timer.callOff();
         if (session != null) {
             all.loop.cut(session);
         } else if (connecting != null) {
@@ -256,9 +260,7 @@
         }
         all.gone(this);
         if (call != null) {
-            Call done = call;
-            call = null;
-            all.ended(done, index, outcome);
+            settle(outcome);
         }
     }
 }
--- a/src/main/java/honeygap/net/appliances/Links.java
+++ b/src/main/java/honeygap/net/appliances/Links.java
@@ -20,7 +20,7 @@
     final Loop loop;
     private final Rules rules;
     final long connectWithin;
-    private final long idleFor;
+    final long idleFor;
     private final int most;
     private final Set<Link> links = new LinkedHashSet<>();
     private final long[] outcomes = new long[8];
@@ -90,13 +90,12 @@
         }
     }
 
-    Loop.Timer rest(Link link) {
+    void rest(Link link) {
         if (link.remote().state != Appliance.UP) {
             loop.gather(() -> link.end(Pick.CANCELLED));
         } else {
             link.remote().idle.addLast(link);
         }
-        return loop.at(loop.now() + idleFor, () -> link.end(Pick.CANCELLED));
     }
 
     void gone(Link link) {
--- a/src/main/java/honeygap/net/appliances/Remote.java
+++ b/src/main/java/honeygap/net/appliances/Remote.java
@@ -7,13 +7,11 @@
 /** The record of an appliance, with its address and the connections to it that are idle. */
 public final class Remote extends Appliance {
 
-    public final String name;
     public InetSocketAddress address;
     /** The one used last at the end. */
     final ArrayDeque<Link> idle = new ArrayDeque<>();
 
-    public Remote(long id, String name) {
+    public Remote(long id) {
         super(id);
-        this.name = name;
     }
 }
--- a/src/main/java/honeygap/net/clients/Client.java
+++ b/src/main/java/honeygap/net/clients/Client.java
@@ -158,10 +158,11 @@
             }
             return;
         }
-        String words = body.remaining() > 64 ? "" : StandardCharsets.UTF_8.decode(body.duplicate()).toString()
+        String words = body.remaining() > 64 ? "?"
+                : StandardCharsets.UTF_8.decode(body.duplicate()).toString()
                 .replace('\0', ' ').replace(';', ' ').strip().toUpperCase(Locale.ROOT);
         String first = words.split("\\s", 2)[0];
-        if (words.isEmpty() && body.remaining() <= 64) {
+        if (words.isEmpty()) {
             write(Words.emptyQuery());
         } else if (first.equals("SET") || first.equals("RESET") || first.equals("DISCARD")) {
             write(Words.set());
--- a/src/main/java/honeygap/net/clients/Clients.java
+++ b/src/main/java/honeygap/net/clients/Clients.java
@@ -144,10 +144,6 @@
         idle.clear();
     }
 
-    public int open() {
-        return open;
-    }
-
     public int count() {
         return here.size();
     }
--- a/src/main/java/honeygap/net/desk/Ballots.java
+++ b/src/main/java/honeygap/net/desk/Ballots.java
@@ -21,19 +21,17 @@
     private final Rules rules;
     private final News news;
     private final InetSocketAddress address;
-    private final String host;
     private final long answerWithin;
     private Vote open;
     private long cast;
     private long unanswered;
 
-    public Ballots(Loop loop, Rules rules, News news, InetSocketAddress address, String host,
+    public Ballots(Loop loop, Rules rules, News news, InetSocketAddress address,
             long answerWithin) {
         this.loop = loop;
         this.rules = rules;
         this.news = news;
         this.address = address;
-        this.host = host;
         this.answerWithin = answerWithin;
     }
 
@@ -44,7 +42,7 @@
         }
         cast++;
         open = new Vote(build);
-        open.connection.post(host, "Action=RecordOpinion&Revision=" + build.number + "&Wave=" + stage
+        open.connection.post("Action=RecordOpinion&Revision=" + build.number + "&Wave=" + stage
                 + "&Decision=" + VERDICTS[verdict]);
     }
 
--- a/src/main/java/honeygap/net/desk/Bulletin.java
+++ b/src/main/java/honeygap/net/desk/Bulletin.java
@@ -14,7 +14,6 @@
     private final Loop loop;
     private final News news;
     private final InetSocketAddress address;
-    private final String host;
     private final long silentFor;
     private final long seed;
     private String event = "";
@@ -22,19 +21,18 @@
     private long unreadable;
 
     /** So long without a sign of life is a failure; a new try comes within that time, at random. */
-    public Bulletin(Loop loop, News news, InetSocketAddress address, String host, long silentFor,
+    public Bulletin(Loop loop, News news, InetSocketAddress address, long silentFor,
                     long seed) {
         this.loop = loop;
         this.news = news;
         this.address = address;
-        this.host = host;
         this.silentFor = silentFor;
         this.seed = seed;
     }
 
     public void listen() {
         event = "";
-        new Stream(loop, address, host, "/bulletin", silentFor, silentFor, this::line, whole -> {
+        new Stream(loop, address, "/bulletin", silentFor, silentFor, this::line, whole -> {
             failures++;
             loop.at(loop.now() + (long) (chance() * silentFor / 4), this::listen);
         });
--- a/src/main/java/honeygap/net/http/Answers.java
+++ b/src/main/java/honeygap/net/http/Answers.java
@@ -23,8 +23,7 @@
     private static final int MOST_LINES = 100;
 
     private static final int STATUS = 0, HEAD = 1, BODY = 2, CHUNK_SIZE = 3, CHUNK = 4, CHUNK_END = 5,
-            TRAILER = 6,
-            UNTIL_CLOSE = 7;
+            TRAILER = 6, UNTIL_CLOSE = 7;
 
     private final Reader reader;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
@@ -76,13 +75,11 @@
         }
     }
 
-    /** The connection has ended; true where that ends the answer well. */
-    public boolean close() throws Malformed {
+    /** The connection has ended, which may be the end of an answer. */
+    public void close() throws Malformed {
         if (state == UNTIL_CLOSE) {
             done();
-            return true;
         }
-        return false;
     }
 
     private void line(String words) throws Malformed {
--- a/src/main/java/honeygap/net/http/Connection.java
+++ b/src/main/java/honeygap/net/http/Connection.java
@@ -22,6 +22,7 @@
     private final Loop loop;
     private final Answers answers;
     private final Ending ending;
+    private final String host;
     private final ConnectFuture connecting;
     private IoSession session;
     private ByteBuffer waiting;
@@ -31,15 +32,17 @@
     public Connection(Loop loop, InetSocketAddress address, Answers.Reader reader, Ending ending) {
         this.loop = loop;
         this.ending = ending;
+        String figures = address.getAddress().getHostAddress();
+        host = (figures.indexOf(':') < 0 ? figures : "[" + figures + "]") + ":" + address.getPort();
         answers = new Answers(reader);
         connecting = loop.connect(address, this);
     }
 
-    public void get(String host, String path) {
+    public void get(String path) {
         send("GET " + path + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n");
     }
 
-    public void post(String host, String form) {
+    public void post(String form) {
         send("POST / HTTP/1.1\r\nHost: " + host + "\r\nContent-Type: application/x-www-form-urlencoded\r\n"
                 + "Content-Length: " + form.length() + "\r\n\r\n" + form);
     }
--- a/src/main/java/honeygap/net/http/Stream.java
+++ b/src/main/java/honeygap/net/http/Stream.java
@@ -23,7 +23,7 @@
     private boolean over;
 
     /** The first bytes must come in one time, each further ones in another. */
-    public Stream(Loop loop, InetSocketAddress address, String host, String path, long answerWithin,
+    public Stream(Loop loop, InetSocketAddress address, String path, long answerWithin,
                   long silentFor, Lines.Reader reader, Ending ending) {
         this.loop = loop;
         this.silentFor = silentFor;
@@ -31,7 +31,7 @@
         lines = new Lines(reader);
         silence = loop.at(loop.now() + answerWithin, () -> end(false));
         connection = new Connection(loop, address, this, handedOver -> end(false));
-        connection.get(host, path);
+        connection.get(path);
     }
 
     /** Closes without a word to whoever hears the ending. */
--- a/src/main/java/honeygap/net/list/Registry.java
+++ b/src/main/java/honeygap/net/list/Registry.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
 import honeygap.Rules;
 import honeygap.fleet.Appliance;
 import honeygap.fleet.Build;
@@ -34,7 +33,6 @@
     private final Links links;
     private final IntFunction<Build> builds;
     private final InetSocketAddress address;
-    private final String host;
     private final long answerWithin;
     /** Unix time, in milliseconds, at the loop's zero. */
     private final long zeroMs;
@@ -50,13 +48,12 @@
     private long failures;
 
     public Registry(Loop loop, Rules rules, Links links, IntFunction<Build> builds, InetSocketAddress address,
-                    String host, Fields info) throws Malformed {
+            Fields info) throws Malformed {
         this.loop = loop;
         this.rules = rules;
         this.links = links;
         this.builds = builds;
         this.address = address;
-        this.host = host;
         answerWithin = info.part("Rules").tenths("MustAskInNs", BEATS_TO_SILENCE * BEAT) / 2;
         zeroMs = System.currentTimeMillis() - loop.clock() / 10;
     }
@@ -90,7 +87,7 @@
     }
 
     private Stream stream(String query, Lines.Reader reader, Stream.Ending ending) {
-        return new Stream(loop, address, host, "/registry/instances" + query, answerWithin,
+        return new Stream(loop, address, "/registry/instances" + query, answerWithin,
                 BEATS_TO_SILENCE * BEAT, reader, ending);
     }
 
@@ -114,10 +111,7 @@
 
     private Fields parse(byte[] bytes, int length) throws Malformed {
         try (JsonParser parser = json.createParser(bytes, 0, length)) {
-            if (parser.nextToken() != JsonToken.START_OBJECT) {
-                throw new Malformed("not an object");
-            }
-            return Fields.read(parser);
+            return Fields.document(parser);
         } catch (IOException e) {
             throw new Malformed("not JSON");
         }
@@ -149,14 +143,14 @@
         String name = entry.text("name");
         int state = state(entry.text("status"));
         InetSocketAddress at = state == Appliance.GONE && !entry.has("address") ? null
-                : address(entry.text("address"));
+                : entry.address("address");
         long since = entry.has("since_ms") ? Math.round(entry.number("since_ms")) : 0;
         long startedAt = since == 0 ? Rules.LONG_AGO : 10 * (since - zeroMs);
         int release = entry.has("release") ? entry.rounded("release") : 0;
         String zone = entry.text("zone", "");
         int cell = entry.has("group") ? entry.rounded("group") : 0;
         return () -> {
-            Remote remote = remotes.computeIfAbsent(name, n -> new Remote(named++, n));
+            Remote remote = remotes.computeIfAbsent(name, n -> new Remote(named++));
             if (at != null && !at.equals(remote.address) || remote.startedAt != startedAt) {
                 links.dropIdle(remote);
             }
@@ -179,20 +173,6 @@
         }
     }
 
-    /** An address in figures and a port: names are not looked up. */
-    public static InetSocketAddress address(String words) throws Malformed {
-        int colon = words.lastIndexOf(':');
-        if (colon > 0 && words.substring(0, colon).matches("[0-9.]+|\\[?[0-9a-fA-F:]+]?")) {
-            try {
-                return new InetSocketAddress(words.substring(0, colon),
-                        Integer.parseInt(words.substring(colon + 1)));
-            } catch (IllegalArgumentException e) {
-                throw new Malformed("not an address: " + words);
-            }
-        }
-        throw new Malformed("not an address: " + words);
-    }
-
     @Override
     public String toString() {
         return String.format("list %d, appliances %d, failures %d", version, remotes.size(), failures);
--- a/src/main/java/honeygap/read/Fields.java
+++ b/src/main/java/honeygap/read/Fields.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -29,6 +30,14 @@
         return fields;
     }
 
+    /** Reads the object that the parser is to begin with. */
+    public static Fields document(JsonParser in) throws IOException, Malformed {
+        if (in.nextToken() != JsonToken.START_OBJECT) {
+            throw new Malformed("not an object");
+        }
+        return read(in);
+    }
+
     private static Object value(JsonParser in) throws IOException {
         switch (in.currentToken()) {
             case START_OBJECT:
@@ -146,6 +155,21 @@
         return numbers;
     }
 
+    /** An address in figures and a port: names are not looked up. */
+    public InetSocketAddress address(String name) throws Malformed {
+        String words = text(name);
+        int colon = words.lastIndexOf(':');
+        if (colon > 0 && words.substring(0, colon).matches("[0-9.]+|\\[?[0-9a-fA-F:]+]?")) {
+            try {
+                return new InetSocketAddress(words.substring(0, colon),
+                        Integer.parseInt(words.substring(colon + 1)));
+            } catch (IllegalArgumentException e) {
+                throw new Malformed("not an address: " + words);
+            }
+        }
+        throw new Malformed("not an address: " + words);
+    }
+
     private <T> T get(String name, Class<T> type, String wanted) throws Malformed {
         Object value = values.get(name);
         if (value == null) {
--- a/src/main/java/honeygap/wire/WireHost.java
+++ b/src/main/java/honeygap/wire/WireHost.java
@@ -5,7 +5,6 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.JsonToken;
 import honeygap.read.Fields;
 import honeygap.read.Malformed;
 import java.io.BufferedOutputStream;
@@ -65,10 +64,7 @@
     private void answer() throws IOException, Malformed {
         Fields batch;
         try (JsonParser parser = json.createParser(line, 0, length)) {
-            if (parser.nextToken() != JsonToken.START_OBJECT) {
-                throw new Malformed("not an object");
-            }
-            batch = Fields.read(parser);
+            batch = Fields.document(parser);
             if (parser.nextToken() != null) {
                 throw new Malformed("more than one value");
             }
--- a/src/test/java/honeygap/net/AgentTest.java
+++ b/src/test/java/honeygap/net/AgentTest.java
@@ -337,8 +337,7 @@
                 + "'FamilyInfo':{'VoteStandsNs':10000000000,'CallTimeoutNs':300000000,'VotesPerS':30,"
                 + "'Caps':[1,1],'Waves':[0.5,1],'WindowNs':2000000000,'Uncounted':1}}}";
         try (JsonParser parser = new JsonFactory().createParser(config.replace('\'', '"'))) {
-            parser.nextToken();
-            agent = new Agent(new Loop(), Fields.read(parser));
+            agent = new Agent(new Loop(), Fields.document(parser));
         }
         agent.start();
     }
