--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -173,6 +173,11 @@
         pick.build.warmInFlight[rpc.method.index] -= pick.cold ? 0 : 1;
         way(appliance.zone, rpc, outcome, lag);
         pace(pick, outcome, lag);
+        // Also after the release, and also by an answer that came too late or could not be read.
+        boolean met = outcome == Pick.OK || outcome != Pick.ERROR && mayHaveRun(pick);
+        if (met && exposure.keysStay && rpc.key != null && isNew(pick.build)) {
+            pick.build.keys.add(rpc.key);
+        }
         if (outcome == Pick.OK) {
             answered(pick, lag);
         } else if (outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED) {
@@ -191,11 +196,6 @@
         Method method = pick.rpc.method;
         appliance.silent = 0;
         appliance.awayUntil = LONG_AGO;
-        // Also after the release, while appliances of the earlier build may still have room.
-        boolean isNew = newest != null && pick.build.number >= newest.number;
-        if (isNew && exposure.keysStay && pick.rpc.key != null) {
-            pick.build.keys.add(pick.rpc.key);
-        }
         if (method.usual > 0) {
             appliance.pace += 2 * FADE * (lag / expected(pick.rpc) - appliance.pace);
         }
@@ -253,11 +253,7 @@
      * Guards against slow, lossy or cut links and slowness of one place. Harm: the others carry its part.
      */
     private boolean away(Location zone) {
-        double best = zone.pace;
-        for (Location other : zones) {
-            best = Math.min(best, other.pace);
-        }
-        return zone.pace > FAR_PAST * best;
+        return zones.stream().anyMatch(other -> zone.pace > FAR_PAST * other.pace);
     }
 
     private void silence(Appliance appliance, Method method) {
@@ -399,31 +395,44 @@
         if ((failed || outcome == Pick.OK) && pick.build != fitted) {
             tenant.failing += WAY_FADE * ((failed ? 1 : 0) - tenant.failing);
         }
-        if (fitted == null || !failed && !slow && outcome != Pick.OK || failed && tenant.failing > HOPELESS) {
+        boolean hopeless = failed && tenant.failing > HOPELESS;
+        if ((failed || outcome == Pick.OK) && !hopeless) {
+            pick.appliance.failing += WAY_FADE * ((failed ? 1 : 0) - pick.appliance.failing);
+        }
+        boolean tells = outcome == Pick.OK || slow || failed && !hopeless && !odd(pick.appliance);
+        if (fitted == null || !tells) {
             return;
         }
         // Strata by method: methods kept from the trial build, or failing by nature, say nothing of it.
         int method = pick.rpc.method.index;
         boolean isNew = pick.build == fitted;
-        int old = 0;
-        for (Build build : builds) {
-            old += build == fitted ? 0 : (slow ? build.warmInFlight : build.inFlight)[method];
-        }
+        int old = builds.stream().mapToInt(build -> build == fitted ? 0 : build.out(slow)[method]).sum();
         if (!slow && (!isNew || old == 0)) {
             // No earlier build is at risk: what it did before stands in as a grouped risk set, for errors and
             // resets. Guards against builds that turn bad late. Harm: errors that begin elsewhere just then.
-            fit.add(method, isNew, 1, failed && isNew ? 1 : 0);
+            // Its own failures stand there too, or those that come at every build would convict the new one.
+            fit.add(method, isNew, 1, failed ? 1 : 0);
         }
         // A silent appliance is one event however many picks it held, and a cold one may time out by being
         // cold: neither must convict its build. Harm: a build that only ever times out is judged later.
         if (failed && (old > 0 || !isNew) || slow && pick.appliance.silent == 0 && !pick.cold) {
-            fit.event(old, (slow ? fitted.warmInFlight : fitted.inFlight)[method], isNew);
+            fit.event(old, fitted.out(slow)[method], isNew);
         }
         if (outcome == Pick.OK) {
             wrong.add(method, isNew, 1, 0);
         }
     }
 
+    /**
+     * An appliance that fails far more than the others of its build: the machine is sick, not the build.
+     * Harm: a build that fails at one of its first machines only is judged later.
+     */
+    private boolean odd(Appliance appliance) {
+        double others = fleet.stream().filter(a -> a != appliance && a.build == appliance.build)
+                .mapToDouble(a -> a.failing).average().orElse(1);
+        return appliance.failing > Math.max(HOPELESS, FAR_PAST * others);
+    }
+
     /**
      * Answers far past the usual, of all builds alike: the second effect sets those of the last seconds
      * against those before the build came. Guards against a build that slows every appliance in step with its
@@ -432,8 +441,8 @@
     private void lateness(Pick pick, int outcome, long lag) {
         Method method = pick.rpc.method;
         // While earlier appliances are there, they alone tell: those of a new build are slow by being few.
-        if (pick.cold || method.usual == 0 || outcome != Pick.OK && outcome != Pick.TIMEOUT
-                || pick.build == fitted && earlier() > 0) {
+        boolean ended = outcome == Pick.OK || outcome == Pick.TIMEOUT;
+        if (pick.cold || method.usual == 0 || !ended || pick.build == fitted && earlier() > 0) {
             return;
         }
         double usual = during() && method.before > 0 ? method.before : method.usual;
@@ -484,6 +493,8 @@
         }
         if (build != newest) {
             slowed.fade(0);
+            // What earlier builds have met no longer matters, and would add up.
+            builds.stream().filter(earlier -> earlier.number < build.number).forEach(b -> b.keys.clear());
         }
         newest = build;
         this.phase = phase;
@@ -549,16 +560,16 @@
 
     /** Appliances up of other builds than the one that the fit is of. */
     private int earlier() {
-        int ups = 0;
-        for (Build build : builds) {
-            ups += build == fitted ? 0 : build.room.appliances;
-        }
-        return ups;
+        return builds.stream().mapToInt(build -> build == fitted ? 0 : build.room.appliances).sum();
+    }
+
+    private boolean isNew(Build build) {
+        return newest != null && build.number >= newest.number;
     }
 
     /** Not yet announced, or announced and not released: what the exposure rule calls on trial. */
     private boolean onTrial(Build build) {
-        return newest != null && (build.number > newest.number || build == newest && phase != Build.RELEASED);
+        return isNew(build) && (build != newest || phase != Build.RELEASED);
     }
 
     private Build trial() {
@@ -596,11 +607,8 @@
 
     /** When 'on' may be said: a wait after the last listed start of the stage's appliances. */
     private long onAfter() {
-        long last = stageSince;
-        for (Appliance appliance : fleet) {
-            boolean listed = appliance.state == Appliance.UP && appliance.build == newest;
-            last = Math.max(last, listed ? appliance.startedAt : stageSince);
-        }
+        long last = fleet.stream().filter(a -> a.state == Appliance.UP && a.build == newest)
+                .mapToLong(a -> a.startedAt).reduce(stageSince, Math::max);
         int wanted = stage < exposure.waves.length ? Math.max(1, (int) (exposure.waves[stage] * places)) : 1;
         // A list that lags must not hold a good build up for ever. Harm: 'on' with less of the stage seen.
         return ON_WAIT + (newest.room.appliances >= wanted ? last : Math.max(last, stageSince + 2 * ON_WAIT));
@@ -653,10 +661,7 @@
         while (!build.exposed.isEmpty() && build.exposed.peekFirst()[0] < now - exposure.window - 2 * tick) {
             build.exposed.removeFirst();
         }
-        int sent = 0;
-        for (long[] pick : build.exposed) {
-            sent += pick[1] == group ? 1 : 0;
-        }
+        long sent = build.exposed.stream().filter(pick -> pick[1] == group).count();
         return sent + 1 <= exposure.uncounted + share * taken.size();
     }
 
@@ -684,7 +689,7 @@
     }
 
     private static double heaviness(Rpc rpc) {
-        return rpc.work > rpc.method.work ? rpc.work / rpc.method.work : 1;
+        return Math.max(1, rpc.method.work > 0 ? rpc.work / rpc.method.work : 1);
     }
 
     /** By the method, not the hint: those that look light would be let through alone, and often are not. */
@@ -752,6 +757,7 @@
         // A fresh start under an old id is a new process, perhaps a new machine: nothing known of it holds.
         if (appliance.startedAt != startedAt || appliance.build != build) {
             appliance.pace = 1;
+            appliance.failing = 0;
             appliance.silent = 0;
             appliance.awayUntil = LONG_AGO;
             appliance.room.least = 1;
@@ -847,10 +853,7 @@
     }
 
     private long wakeAt() {
-        long at = Long.MAX_VALUE;
-        if (listing.asked && !listAnswered) {
-            at = Math.min(at, askedAt + listing.askWithin / 4);
-        }
+        long at = listing.asked && !listAnswered ? askedAt + listing.askWithin / 4 : Long.MAX_VALUE;
         if (newest != null && (phase == Build.ON_TRIAL || phase == Build.RELEASED)) {
             at = Math.min(at, now + SECOND / 10);
         }
@@ -934,15 +937,15 @@
         // A heavy RPC is not given up for being heavy.
         double expected = expected(rpc);
         long patience = (long) Math.max(PATIENCE * Math.min(soft, left), FAR_PAST * expected);
-        if (soft - patience < ROOM_FOR_MORE * expected) {
-            return left;
-        }
-        return Math.max(1, Math.min(left, patience));
+        return soft - patience < ROOM_FOR_MORE * expected ? left : Math.max(1, Math.min(left, patience));
     }
 
     private static Pick firstThatMayRun(Rpc rpc) {
-        return rpc.picks.stream().filter(pick -> pick.outcome != Pick.FULL && pick.outcome != Pick.MOOT
-                && pick.outcome != Pick.CONNECT_FAILED).findFirst().orElse(null);
+        return rpc.picks.stream().filter(Rules::mayHaveRun).findFirst().orElse(null);
+    }
+
+    private static boolean mayHaveRun(Pick pick) {
+        return pick.outcome != Pick.FULL && pick.outcome != Pick.MOOT && pick.outcome != Pick.CONNECT_FAILED;
     }
 
     /** Rules on appliances for one RPC: state, drains, effects, keys, exposure and cold starts. */
@@ -978,18 +981,14 @@
                 latest = isNew ? latest : Math.max(latest, appliance.build.number);
             }
         }
-        // After the release RPCs go to the newer build.
         int newestOld = latest;
-        old.removeIf(appliance -> appliance.build.number < newestOld);
-        if (old.isEmpty() || fresh.isEmpty()) {
-            return lighter(rpc, old.isEmpty() ? fresh : old);
-        }
-        boolean failedNew = !rpc.picks.isEmpty() && rpc.picks.get(rpc.picks.size() - 1).build == trial;
+        old.removeIf(appliance -> appliance.build.number < newestOld);    // After the release: the newer.
         Appliance ofOld = lighter(rpc, old);
         Appliance ofNew = lighter(rpc, fresh);
         if (ofOld == null || ofNew == null) {
             return ofOld == null ? ofNew : ofOld;
         }
+        boolean failedNew = !rpc.picks.isEmpty() && rpc.picks.get(rpc.picks.size() - 1).build == trial;
         return !failedNew && wantsNew(rpc) ? ofNew : ofOld;
     }
 
@@ -1025,6 +1024,8 @@
     }
 
     private double burden(Appliance appliance) {
-        return (appliance.room.out + 1) * appliance.pace / warmth(appliance);
+        // What fails at once looks light, and would draw all RPCs.
+        double good = Math.max(FADE, 1 - appliance.failing);
+        return (appliance.room.out + 1) * appliance.pace / warmth(appliance) / good / good;
     }
 }
--- a/src/main/java/honeygap/fleet/Appliance.java
+++ b/src/main/java/honeygap/fleet/Appliance.java
@@ -18,6 +18,8 @@
 
     /** Time of its answers over what the method usually takes; 1 is as usual. */
     public double pace = 1;
+    /** Share of its picks that lately ended in an error or a reset. */
+    public double failing;
     public final Room room = new Room(1);
     /** Picks in a row that ended without a word from it. */
     public int silent;
--- a/src/main/java/honeygap/fleet/Build.java
+++ b/src/main/java/honeygap/fleet/Build.java
@@ -30,6 +30,11 @@
     /** Keys that this build has answered through this agent. */
     public final Set<String> keys = new HashSet<>();
 
+    /** Picks now out, by method: all, or only those at appliances no longer cold. */
+    public int[] out(boolean warmOnly) {
+        return warmOnly ? warmInFlight : inFlight;
+    }
+
     public Build(int number, int methods) {
         this.number = number;
         this.inFlight = new int[methods];
--- a/src/test/java/honeygap/RulesTest.java
+++ b/src/test/java/honeygap/RulesTest.java
@@ -327,4 +327,88 @@
         }
         assertEquals(used, there > 2, there + " picks");
     }
+
+    /**
+     * An appliance that fails at once, among three of its build: it looks light but gets few picks, its build is
+     * not sent back, and one where all fail is.
+     */
+    @ParameterizedTest
+    @CsvSource({"1,false", "3,true"})
+    void sickAppliance(int sick, boolean back) {
+        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        for (int i = 0; i < 3; i++) {
+            agency.warm(i, agency.old);
+            agency.warm(10 + i, agency.fresh);
+        }
+        agency.rules.told(agency.fresh, Build.ON_TRIAL, 1, 1, false, agency.now, 0);
+        int atSick = 0;
+        String said = "";
+        for (int i = 0; i < 200; i++) {
+            agency.after(200);
+            Rpc rpc = agency.take(0, null);
+            said += agency.pull();
+            while (rpc.out > 0) {
+                long id = rpc.picks.get(rpc.picks.size() - 1).appliance.id;
+                atSick += id == 10 ? 1 : 0;
+                agency.end(rpc, id >= 10 && id < 10 + sick ? Pick.ERROR : Pick.OK);
+                said += agency.pull();
+            }
+        }
+        assertEquals(back, said.contains("vote" + Build.VOTE_BACK));
+        assertTrue(sick > 1 || atSick < 15, "picks at the sick one: " + atSick);
+    }
+
+    /** Failures that come at every build alike convict none, also where the earlier one has left. */
+    @ParameterizedTest
+    @CsvSource({"10,10,false", "0,3,true"})
+    void failuresOfBoth(int everyOld, int everyNew, boolean back) {
+        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        for (int i = 0; i < 4; i++) {
+            agency.warm(i, agency.old);
+        }
+        String said = "";
+        for (int i = 0; i < 600; i++) {
+            if (i == 100) {
+                agency.rules.told(agency.fresh, Build.ON_TRIAL, 1, 1, false, agency.now, 0);
+            }
+            if (i == 300) {
+                for (int j = 0; j < 4; j++) {
+                    agency.list(j, agency.old, 0, 0, Appliance.GONE, Rules.LONG_AGO);
+                    agency.warm(10 + j, agency.fresh);
+                }
+            }
+            agency.after(200);
+            Rpc rpc = agency.take(0, null);
+            said += agency.pull();
+            if (rpc.picks.isEmpty()) {
+                continue;
+            }
+            int every = rpc.picks.get(0).build == agency.fresh ? everyNew : everyOld;
+            agency.end(rpc, every > 0 && i % every == 0 ? Pick.RESET : Pick.OK);
+            said += agency.pull();
+            if (rpc.out > 0) {
+                agency.end(rpc, Pick.OK);
+            }
+        }
+        assertEquals(back, said.contains("vote" + Build.VOTE_BACK));
+    }
+
+    /** A key stays with the new build once that may have answered it, whether the answer could be read or not. */
+    @ParameterizedTest
+    @CsvSource({"0,true", "3,true", "5,true", "6,true", "1,false", "2,false", "4,false", "7,false"})
+    void keysMet(int outcome, boolean stays) {
+        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        agency.warm(10, agency.fresh);
+        agency.rules.told(agency.fresh, Build.ON_TRIAL, 1, 1, false, agency.now, 0);
+        Rpc rpc = agency.take(2, "k");
+        assertEquals("pick10", agency.pull());
+        agency.after(100);
+        agency.end(rpc, outcome);
+        agency.pull();
+        agency.list(10, agency.fresh, 0, 0, Appliance.GONE, Rules.LONG_AGO);
+        agency.warm(1, agency.old);
+        agency.after(100);
+        agency.take(2, "k");
+        assertEquals(!stays, agency.pull().contains("pick1"));
+    }
 }
