--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -40,12 +40,15 @@
     /** Times its own picks that the desk must sample for its counts to join, and failures beneath notice. */
     private static final double SAMPLED_TO_JOIN = 2;
     private static final double BENEATH_NOTICE = 0.02;
-    private static final long ON_WAIT = 3 * SECOND;
+    /** Times the least duration of a stage that a vote for it waits. */
+    private static final double ON_SOAKS = 1.5;
     /** Times the usual past which an answer is an event of the second effect. */
     private static final double FAR_PAST = 3;
     /** What is kept of its new arm each second, and how many waits it must last to send a build back. */
     private static final double SLOWED_KEPT = 0.5;
-    private static final int SLOWED_WAITS = 3;
+    /** Times the RPCs taken when the build came, beyond which slowness is the traffic's, not the build's. */
+    private static final double BURST = 1.5;
+    private static final int SLOWED_WAITS = 2;
 
     /** Part of the time left to the soft deadline after which a pick that may be repeated is given up. */
     private static final double PATIENCE = 0.6;
@@ -85,8 +88,8 @@
     /** A cold appliance: what it starts from, when it is warm, and what pushes it over. */
     public record Cold(double from, long warmAfter, double fallMultiple, long tipAfter) { }
 
-    /** The desk: what votes do and how long, its time-out, voices to send back, what it takes and samples. */
-    public record Desk(int gate, long voteStands, long callTimeout, int noes, double votesPerS,
+    /** The desk: what votes do, how long they and stages last, its time-out, voices to send back, its counts. */
+    public record Desk(int gate, long voteStands, long soak, long callTimeout, int noes, double votesPerS,
                        double sampledShare) { }
 
     /** Exposure: cap and share of the fleet by stage, and how picks are counted. */
@@ -98,6 +101,7 @@
     private long now;
     private final int agents;
     private final long tick;
+    private final long onWait;
     private final List<Method> methods;
     private final Tries tries;
     private final Listing listing;
@@ -125,6 +129,7 @@
         this.cold = cold;
         this.desk = desk;
         this.exposure = exposure;
+        onWait = (long) (ON_SOAKS * desk.soak);
         this.slowed = new Fit(methods.size());
         this.wrong = new Fit(methods.size());
         for (int i = 0; i < (exposure.perMethod ? methods.size() : 1); i++) {
@@ -149,6 +154,7 @@
         takenAt.get(exposureGroup(rpc.method)).addLast(now);
         rpc.method.work += Math.max(FADE, 1.0 / ++rpc.method.taken) * (rpc.work - rpc.method.work);
         takenWork += cost(rpc);
+        first += rpc.retry ? 0 : 1;
         todo.addLast(rpc);
     }
 
@@ -173,11 +179,6 @@
         pick.build.warmInFlight[rpc.method.index] -= pick.cold ? 0 : 1;
         way(appliance.zone, rpc, outcome, lag);
         pace(pick, outcome, lag);
-        // Also after the release, and also by an answer that came too late or could not be read.
-        boolean met = outcome == Pick.OK || outcome != Pick.ERROR && mayHaveRun(pick);
-        if (met && exposure.keysStay && rpc.key != null && isNew(pick.build)) {
-            pick.build.keys.add(rpc.key);
-        }
         if (outcome == Pick.OK) {
             answered(pick, lag);
         } else if (outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED) {
@@ -423,10 +424,7 @@
         }
     }
 
-    /**
-     * An appliance that fails far more than the others of its build: the machine is sick, not the build.
-     * Harm: a build that fails at one of its first machines only is judged later.
-     */
+    /** The machine is sick, not its build. Harm: a build that fails at one of its first only is judged later. */
     private boolean odd(Appliance appliance) {
         double others = fleet.stream().filter(a -> a != appliance && a.build == appliance.build)
                 .mapToDouble(a -> a.failing).average().orElse(1);
@@ -436,24 +434,25 @@
     /**
      * Answers far past the usual, of all builds alike: the second effect sets those of the last seconds
      * against those before the build came. Guards against a build that slows every appliance in step with its
-     * traffic. Harm: another slowdown that begins then and lasts; a passing one only delays 'on'.
+     * traffic. Harm: another slowdown that begins then and lasts; a passing one, or a burst of RPCs that are
+     * no client's further try, only delays 'on'.
      */
     private void lateness(Pick pick, int outcome, long lag) {
         Method method = pick.rpc.method;
         // While earlier appliances are there, they alone tell: those of a new build are slow by being few.
-        boolean ended = outcome == Pick.OK || outcome == Pick.TIMEOUT;
+        boolean ended = outcome == Pick.OK || outcome == Pick.TIMEOUT && pick.appliance.silent == 0;
         if (pick.cold || method.usual == 0 || !ended || pick.build == fitted && earlier() > 0) {
             return;
         }
         double usual = during() && method.before > 0 ? method.before : method.usual;
         slowed.add(method.index, during(), 1, lag > FAR_PAST * usual * heaviness(pick.rpc) ? 1 : 0);
-        if (worse(slowed) <= HOLD_CHANCE) {
+        if (worse(slowed) <= HOLD_CHANCE || firstRate > BURST * rateThen) {
             slowedSince = now;
         }
     }
 
     private boolean during() {
-        boolean justReleased = phase == Build.RELEASED && now < stageSince + SLOWED_WAITS * ON_WAIT;
+        boolean justReleased = phase == Build.RELEASED && now < stageSince + SLOWED_WAITS * onWait;
         return fitted != null && (fitted == trial() || fitted == newest && justReleased);
     }
 
@@ -493,7 +492,6 @@
         }
         if (build != newest) {
             slowed.fade(0);
-            // What earlier builds have met no longer matters, and would add up.
             builds.stream().filter(earlier -> earlier.number < build.number).forEach(b -> b.keys.clear());
         }
         newest = build;
@@ -553,6 +551,7 @@
             wrong = new Fit(methods.size());
             methods.forEach(method -> method.before = method.usual);
             places = earlier();
+            rateThen = firstRate;
         }
     }
 
@@ -584,7 +583,7 @@
         }
         double all = Arrays.stream(allAgents).mapToDouble(Rules::worse).max().orElse(0);
         double worse = Math.max(all, Math.max(worse(fit), worse(wrong)));
-        boolean lasting = now >= slowedSince + SLOWED_WAITS * ON_WAIT;
+        boolean lasting = now >= slowedSince + SLOWED_WAITS * onWait;
         // Where few voices are enough, all agents share the chance that one of them is wrong.
         double few = Math.min(1, (double) desk.noes * desk.noes / agents);
         boolean back = Math.max(worse(fit), worse(wrong)) > 1 - (1 - BACK_CHANCE) * few;
@@ -611,7 +610,7 @@
                 .mapToLong(a -> a.startedAt).reduce(stageSince, Math::max);
         int wanted = stage < exposure.waves.length ? Math.max(1, (int) (exposure.waves[stage] * places)) : 1;
         // A list that lags must not hold a good build up for ever. Harm: 'on' with less of the stage seen.
-        return ON_WAIT + (newest.room.appliances >= wanted ? last : Math.max(last, stageSince + 2 * ON_WAIT));
+        return onWait + (newest.room.appliances >= wanted ? last : Math.max(last, stageSince + 2 * onWait));
     }
 
     private boolean voteDue(int verdict) {
@@ -644,13 +643,11 @@
 
     /** May a pick of this method go to the build on trial now: stage, cap and rolling count. */
     private boolean exposable(Build build, Method method) {
-        if (!onTrial(build)) {
-            return true;
-        }
-        int at = build.number > newest.number ? 0 : stage;
-        double share = capOf(build);
+        boolean isTrial = onTrial(build);
+        int at = isTrial && build.number > newest.number ? 0 : stage;
+        double share = isTrial ? capOf(build) : 0;
         if (share <= 0 || at < exposure.shielded && method.effect != Method.IDEMPOTENT) {
-            return false;
+            return !isTrial;
         }
         int group = exposureGroup(method);
         // Picks are counted over a little more than the window, RPCs over a little less.
@@ -659,10 +656,9 @@
             taken.removeFirst();
         }
         while (!build.exposed.isEmpty() && build.exposed.peekFirst()[0] < now - exposure.window - 2 * tick) {
-            build.exposed.removeFirst();
+            build.exposedOf[(int) build.exposed.removeFirst()[1]]--;
         }
-        long sent = build.exposed.stream().filter(pick -> pick[1] == group).count();
-        return sent + 1 <= exposure.uncounted + share * taken.size();
+        return build.exposedOf[group] + 1 <= exposure.uncounted + share * taken.size();
     }
 
     /** A key that the new build has answered goes to no earlier one, until the build goes back. */
@@ -675,6 +671,10 @@
     private double warmWork;
     private double takenWork;
     private double warmRate;
+    /** RPCs a second that are no further try, lately and when the build on trial came. */
+    private double firstRate;
+    private double rateThen;
+    private long first;
     private long rateSince = LONG_AGO;
 
     /** Part of its full capacity that the appliance surely has. */
@@ -708,6 +708,8 @@
             warmRate += (warmRate > 0 ? RATE_FADE : 1) * (rate - warmRate);
         }
         slowed.fade(SLOWED_KEPT);
+        firstRate += RATE_FADE * (first * (double) SECOND / (now - rateSince) - firstRate);
+        first = 0;
         warmWork = 0;
         takenWork = 0;
         rateSince = now;
@@ -775,16 +777,10 @@
 
     public void listEnds() {
         if (fullList) {
-            for (Appliance appliance : fleet) {
-                if (!named.contains(appliance)) {
-                    appliance.state = Appliance.GONE;
-                }
-            }
+            fleet.stream().filter(a -> !named.contains(a)).forEach(a -> a.state = Appliance.GONE);
         }
         listAnswered |= !diskList;
-        for (Appliance appliance : named) {
-            note(appliance.build);
-        }
+        named.forEach(appliance -> note(appliance.build));
         fleet.removeIf(appliance -> appliance.state == Appliance.GONE);
         builds.forEach(build -> build.room.appliances = 0);
         for (Appliance appliance : fleet) {
@@ -854,13 +850,9 @@
 
     private long wakeAt() {
         long at = listing.asked && !listAnswered ? askedAt + listing.askWithin / 4 : Long.MAX_VALUE;
-        if (newest != null && (phase == Build.ON_TRIAL || phase == Build.RELEASED)) {
-            at = Math.min(at, now + SECOND / 10);
-        }
-        if (!held.isEmpty()) {
-            at = Math.min(at, now + 2 * tick);
-        }
-        return at;
+        boolean votes = newest != null && (phase == Build.ON_TRIAL || phase == Build.RELEASED);
+        at = votes ? Math.min(at, now + SECOND / 10) : at;
+        return held.isEmpty() ? at : Math.min(at, now + 2 * tick);
     }
 
     /** Decides about an RPC that has no pick out; false when it is held. */
@@ -871,7 +863,10 @@
                 || rpc.tenant.failing > HOPELESS)) {
             return finish(rpc, mayRun, ctl);
         }
-        Appliance appliance = choose(rpc);
+        // Where one without ties found no place in this turn, nor will the next: many may be held, and often.
+        boolean isFree = rpc.picks.isEmpty() && (newest == null || !newest.keys.contains(rpc.key));
+        Appliance appliance = isFree && rpc.method.fullAt == now ? null : choose(rpc);
+        rpc.method.fullAt = isFree && appliance == null ? now : rpc.method.fullAt;
         if (appliance != null) {
             if (mayRun) {
                 further--;
@@ -913,8 +908,13 @@
         if (isCold) {
             appliance.credit -= cost(rpc);
         }
+        // Also after the release, and before any answer, which may come too late or not be readable.
+        if (exposure.keysStay && rpc.key != null && isNew(appliance.build)) {
+            appliance.build.keys.add(rpc.key);
+        }
         if (onTrial(appliance.build)) {
             appliance.build.exposed.addLast(new long[] {now, exposureGroup(rpc.method)});
+            appliance.build.exposedOf[exposureGroup(rpc.method)]++;
         }
         if (rpc.picks.size() == 1 && fitted != null) {
             double fade = 1 - FADE;
@@ -941,11 +941,8 @@
     }
 
     private static Pick firstThatMayRun(Rpc rpc) {
-        return rpc.picks.stream().filter(Rules::mayHaveRun).findFirst().orElse(null);
-    }
-
-    private static boolean mayHaveRun(Pick pick) {
-        return pick.outcome != Pick.FULL && pick.outcome != Pick.MOOT && pick.outcome != Pick.CONNECT_FAILED;
+        return rpc.picks.stream().filter(pick -> pick.outcome != Pick.FULL && pick.outcome != Pick.MOOT
+                && pick.outcome != Pick.CONNECT_FAILED).findFirst().orElse(null);
     }
 
     /** Rules on appliances for one RPC: state, drains, effects, keys, exposure and cold starts. */
--- a/src/main/java/honeygap/fleet/Build.java
+++ b/src/main/java/honeygap/fleet/Build.java
@@ -27,7 +27,9 @@
     public final Room room = new Room(0);
     /** Times of the picks that count against the cap, oldest first, by counted method. */
     public final ArrayDeque<long[]> exposed = new ArrayDeque<>();
-    /** Keys that this build has answered through this agent. */
+    /** How many of these there are, by counted method. */
+    public final int[] exposedOf;
+    /** Keys that this agent has sent to this build. */
     public final Set<String> keys = new HashSet<>();
 
     /** Picks now out, by method: all, or only those at appliances no longer cold. */
@@ -37,6 +39,7 @@
 
     public Build(int number, int methods) {
         this.number = number;
+        this.exposedOf = new int[methods];
         this.inFlight = new int[methods];
         this.warmInFlight = new int[methods];
     }
--- a/src/main/java/honeygap/fleet/Method.java
+++ b/src/main/java/honeygap/fleet/Method.java
@@ -26,6 +26,8 @@
     /** The same when the build now on trial came. */
     public double before;
     public long answers;
+    /** When an RPC of it last found no place. */
+    public long fullAt = Long.MIN_VALUE / 2;
     public long taken;
     /** Mean hint of the work of its RPCs; 0 where there are no hints. */
     public double work;
--- a/src/main/java/honeygap/read/Deployment.java
+++ b/src/main/java/honeygap/read/Deployment.java
@@ -34,7 +34,8 @@
                 new Rules.Cold(guards.number("ColdFrom", 1), guards.tenths("WarmAfterNs", 0),
                         guards.number("FallMultiple", 1), guards.tenths("TipAfterNs", 0)),
                 new Rules.Desk(gate(family.text("GateMode", "first_voice")),
-                        family.tenths("VoteStandsNs", 0), family.tenths("CallTimeoutNs", 0),
+                        family.tenths("VoteStandsNs", 0), family.tenths("SoakNs", 20_000),
+                        family.tenths("CallTimeoutNs", 0),
                         family.index("NoesNeeded", 1), family.number("VotesPerS", 1),
                         family.has("TallyEveryNs") && family.whole("TallyEveryNs") > 0
                                 ? family.number("SampledShare", 0) : 0),
