--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -31,6 +31,8 @@
 
     /** Descriptors kept back for the list, the desk and what the runtime itself holds. */
     private static final int RESERVE = 64;
+    /** Clients hold at most this part of the descriptors for RPCs; half of it is kept free for new ones. */
+    private static final int CLIENTS_PART = 3;
     /** For so long, in milliseconds, the code is warmed up before the agent listens. */
     private static final long REHEARSED_MS = 300;
     /** How often the counters go to the log. */
@@ -67,7 +69,8 @@
         }
         listen = told.address("listen");
         // A client's connection may need one to an appliance.
-        most = Math.max(2, told.part("limits").index("sockets", 1024) - RESERVE) / 2;
+        int sockets = told.part("limits").index("sockets", 1024);
+        most = Math.max(2, sockets - RESERVE) / 2;
         rules = Deployment.rules(loop.clock(), seed, methods, info);
         Map<String, Method> names = new HashMap<>();
         int at = 0;
@@ -76,7 +79,7 @@
         }
         IntFunction<Build> build = number ->
                 builds.computeIfAbsent(number, n -> new Build(n, methods.size()));
-        clients = new Clients(loop, rules, names, info, most);
+        clients = new Clients(loop, rules, names, info, most, sockets / CLIENTS_PART / 2);
         links = new Links(loop, rules, info, most);
         registry = new Registry(loop, rules, links, build, told.address("discovery"), info);
         News news = new News(loop, rules, build, names);
--- a/src/main/java/honeygap/net/clients/Client.java
+++ b/src/main/java/honeygap/net/clients/Client.java
@@ -41,6 +41,7 @@
     private Call call;
     private Stage stage = Stage.NEW;
     private long cameAt;
+    private long waitsSince;
     /** Kept by the one that closes clients idle for long. */
     long idleSince;
     private boolean hasAsked;
@@ -119,6 +120,7 @@
             return;
         }
         stage = next;
+        waitsSince = all.loop.now();
         if (timer != null) {
             timer.callOff();
             timer = null;
@@ -146,6 +148,11 @@
         }
     }
 
+    /** What is waited for could have been read by now. */
+    boolean isLate() {
+        return waitsSince + GRACE < all.loop.now();
+    }
+
     /** Nothing taken is open here, and nothing half read. */
     boolean isIdle() {
         return started && call == null && !writing && !ending && frames.waiting() == 0;
@@ -250,6 +257,7 @@
     }
 
     void pushBack(long stayAwayMs) {
+        all.pushedBack();
         finish(Words.error(Words.TOO_MANY, "pushed back, trying again is harmless", stayAwayMs));
     }
 
--- a/src/main/java/honeygap/net/clients/Clients.java
+++ b/src/main/java/honeygap/net/clients/Clients.java
@@ -28,6 +28,7 @@
     private final Tenant unnamed = new Tenant();
     private final long tick;
     private final int most;
+    private final int crowd;
     private final int mostOpen;
     private final Set<Client> here = new LinkedHashSet<>();
     /** Longest idle first. */
@@ -42,16 +43,20 @@
     private long twice;
     private long tooLong;
     private long madeRoom;
+    private long crowded;
+    private long full;
+    private long pushedBack;
     private long rescued;
     final Statement statement = new Statement();
 
-    /** Methods and customers by the names of their lists; at most so many connections and open RPCs. */
+    /** Methods and customers by the names of their lists; above a crowd idle ones go; most is the limit. */
     public Clients(Loop loop, Rules rules, Map<String, Method> methods, Fields info,
-                   int most) throws Malformed {
+                   int most, int crowd) throws Malformed {
         this.loop = loop;
         this.rules = rules;
         this.methods = methods;
         this.most = most;
+        this.crowd = crowd;
         tick = Math.max(1, info.tenths("TickNs"));
         mostOpen = info.part("Ceilings").index("MaxOpen", Integer.MAX_VALUE);
         if (info.has("Accounts")) {
@@ -65,7 +70,10 @@
         return new Client(this);
     }
 
-    /** At the limit whoever has been waited for longest makes room, or else has been idle longest. */
+    /**
+     * At the limit whoever has been waited for longest makes room, or else has been idle longest. Guards
+     * against turning down those that came in the same moment and have not been read: they ask at once again.
+     */
     void came(Client client) {
         here.add(client);
         waitedFor.add(client);
@@ -73,7 +81,7 @@
             return;
         }
         Client longest = waitedFor.iterator().next();
-        if (longest == client && !idle.isEmpty()) {
+        if (!longest.isLate() && !idle.isEmpty()) {
             longest = idle.iterator().next();
         }
         if (longest != client) {
@@ -102,6 +110,7 @@
     }
 
     boolean isFull() {
+        full += here.size() > most ? 1 : 0;
         return here.size() > most;
     }
 
@@ -115,6 +124,13 @@
             if (sweep == null) {
                 sweep = loop.at(loop.now() + KEPT, this::closeIdle);
             }
+            if (here.size() > crowd) {
+                // Guards against clients that ask once a connection: they may open no more until some go.
+                Client longest = idle.iterator().next();
+                crowded++;
+                went(longest);
+                longest.close();
+            }
         }
     }
 
@@ -194,6 +210,10 @@
         unknown++;
     }
 
+    void pushedBack() {
+        pushedBack++;
+    }
+
     void tooLong() {
         tooLong++;
     }
@@ -218,7 +238,8 @@
     @Override
     public String toString() {
         return String.format("clients %d, idle %d, open RPCs %d, malformed %d, unknown %d, open ids %d,"
-                + " too long %d, made room %d, rescued %d", here.size(), idle.size(), open.size(), malformed,
-                unknown, twice, tooLong, madeRoom, rescued);
+                + " too long %d, made room %d, crowded %d, full %d, pushed back %d, rescued %d",
+                here.size(), idle.size(), open.size(), malformed,
+                unknown, twice, tooLong, madeRoom, crowded, full, pushedBack, rescued);
     }
 }
--- a/src/test/java/honeygap/net/AgentTest.java
+++ b/src/test/java/honeygap/net/AgentTest.java
@@ -558,6 +558,22 @@
         assertTrue(fleet.heard.size() <= 1);
     }
 
+    /** Clients that ask once and stay go, longest idle first, before they hold all that clients may hold. */
+    @Test
+    void crowdOfIdleOnes() throws Exception {
+        Fleet fleet = new Fleet("ok");
+        StandIn nobody = new StandIn("refused");
+        start(entry("s-1", fleet, "SERVING", 1), "", nobody, nobody, 96);
+        Caller first = new Caller().hello();
+        assertEquals("ok:v1", first.ask("read", 900));
+        long asked = System.nanoTime();
+        for (int i = 0; i < 16; i++) {
+            assertEquals("ok:v1", new Caller().hello().ask("read", 900));
+        }
+        assertEquals("end", first.hear());
+        assertTrue(System.nanoTime() - asked < 1_500_000_000, "sooner than those that are merely idle");
+    }
+
     /** Where all places are taken by clients that say nothing, each new one gets a place and is served. */
     @Test
     void silentOnesMakeRoom() throws Exception {
