--- a/src/test/java/honeygap/net/AgentTest.java
+++ b/src/test/java/honeygap/net/AgentTest.java
@@ -389,12 +389,16 @@
                 + "'MaxRetryAfterNs':500000000},'Rules':{'MustAskInNs':1200000000}," + settings
                 + "'FamilyInfo':{'VoteStandsNs':10000000000,'CallTimeoutNs':300000000,'VotesPerS':30,"
                 + "'Caps':[1,1],'Waves':[0.5,1],'WindowNs':2000000000,'Uncounted':1}}}";
-        try (JsonParser parser = new JsonFactory().createParser(config.replace('\'', '"'))) {
-            agent = new Agent(new Loop(), Fields.document(parser));
-        }
+        agent = new Agent(new Loop(), fields(config));
         agent.start();
     }
 
+    private static Fields fields(String words) throws IOException, Malformed {
+        try (JsonParser parser = new JsonFactory().createParser(words.replace('\'', '"'))) {
+            return Fields.document(parser);
+        }
+    }
+
     private void start(StandIn fleet) throws IOException, Malformed {
         StandIn nobody = new StandIn("refused");
         start(entry("s-1", fleet, "SERVING", 1), "", nobody, nobody, 1024);
@@ -701,6 +705,37 @@
         assertTrue(list.heard.size() >= scripts.split(" ").length);
     }
 
+    /** A configuration read again moves the list and the desk; one that can't be read whole moves nothing. */
+    @ParameterizedTest
+    @CsvSource({"moved,ok:v1", "half,53300+", "nodesk,53300+", "half moved,ok:v1", "moved moved,ok:v1"})
+    void reread(String files, String answer) throws Exception {
+        Fleet fleet = new Fleet("ok");
+        StandIn nobody = new StandIn("refused");
+        StandIn desk = new StandIn("silent");
+        StandIn list = new StandIn("WHOLE") {
+            @Override
+            byte[] answer(String script) {
+                return ("HTTP/1.1 200 OK\r\n\r\n{'index':42,'snapshot':true,'endpoints':["
+                        + entry("s-1", fleet, "SERVING", 1) + "]}\n").replace('\'', '"')
+                        .getBytes(StandardCharsets.UTF_8);
+            }
+        };
+        start(entry("s-1", nobody, "SERVING", 1), "'RegistryMode':'ask',", nobody, nobody, 1024);
+        for (String file : files.split(" ")) {
+            String moved = "{'discovery':'" + list.address() + "'";
+            agent.reread(() -> fields(moved + (file.equals("half") ? "" : file.equals("nodesk") ? "}"
+                    : ",'rollouts':{'address':'" + desk.address() + "'}}")));
+        }
+        assertEquals(answer, askUntil(answer));
+        boolean moves = files.endsWith("moved");
+        assertEquals(moves, list.connections.get() > 0);
+        if (moves) {
+            while (desk.heard.isEmpty()) {
+                Thread.onSpinWait();
+            }
+        }
+    }
+
     /** Each status of the desk's table: whether the vote is cast again, and that it says what it should. */
     @ParameterizedTest
     @CsvSource({
