--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -46,9 +46,9 @@
     private static final double FAR_PAST = 3;
     /** What is kept of its new arm each second, and how many waits it must last to send a build back. */
     private static final double SLOWED_KEPT = 0.5;
+    private static final int SLOWED_WAITS = 2;
     /** Times the RPCs taken when the build came, beyond which slowness is the traffic's, not the build's. */
     private static final double BURST = 1.5;
-    private static final int SLOWED_WAITS = 2;
 
     /** Part of the time left to the soft deadline after which a pick that may be repeated is given up. */
     private static final double PATIENCE = 0.6;
