Front and back are seams round a core of module and RPCs; records of builds leave

Need: a second protocol on the same loop, where Agent named PostgreSQL's peers directly and the back imported the front. Change: Core (module, list, desk) between Front and Back; Call is what both share; connections to appliances (pool, stages, what surely never ran) are in net.links for any protocol, appliances.Session speaks PostgreSQL's. The loop turns several cores. Builds without appliances or picks leave the module and the host.

--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -782,6 +782,10 @@
         listAnswered |= !diskList;
         named.forEach(appliance -> note(appliance.build));
         fleet.removeIf(appliance -> appliance.state == Appliance.GONE);
+        // Records of earlier builds leave with their last appliance and pick, or they would pile up for ever.
+        builds.forEach(build -> build.left = build != fitted && newest != null && build.number < newest.number
+                && build.room.out == 0 && fleet.stream().noneMatch(appliance -> appliance.build == build));
+        builds.removeIf(build -> build.left);
         builds.forEach(build -> build.room.appliances = 0);
         for (Appliance appliance : fleet) {
             appliance.build.room.appliances += appliance.state == Appliance.UP ? 1 : 0;
--- a/src/main/java/honeygap/fleet/Build.java
+++ b/src/main/java/honeygap/fleet/Build.java
@@ -37,6 +37,9 @@
         return warmOnly ? warmInFlight : inFlight;
     }
 
+    /** The module has let go of it: nothing of it is up, out or counted any more. */
+    public boolean left;
+
     public Build(int number, int methods) {
         this.number = number;
         this.exposedOf = new int[methods];
--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -1,18 +1,13 @@
 package honeygap.net;
 
-import honeygap.Ctl;
 import honeygap.Rules;
-import honeygap.fleet.Appliance;
-import honeygap.fleet.Build;
 import honeygap.fleet.Method;
-import honeygap.fleet.Rpc;
-import honeygap.net.appliances.Links;
-import honeygap.net.appliances.Remote;
-import honeygap.net.clients.Call;
+import honeygap.net.appliances.Session;
 import honeygap.net.clients.Clients;
 import honeygap.net.desk.Ballots;
 import honeygap.net.desk.Bulletin;
 import honeygap.net.desk.News;
+import honeygap.net.links.Links;
 import honeygap.net.list.Registry;
 import honeygap.read.Deployment;
 import honeygap.read.Fields;
@@ -23,11 +18,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
-import java.util.function.IntFunction;
 import org.tinylog.Logger;
 
 /** One agent on sockets: its rules, and the peers by which they hear and act. */
-public final class Agent implements Ctl, Loop.Core {
+public final class Agent {
 
     /** Descriptors kept back for the list, the desk and what the runtime itself holds. */
     private static final int RESERVE = 64;
@@ -52,8 +46,8 @@
     private final int most;
     private final Fields info;
     private final CountDownLatch ended = new CountDownLatch(1);
-    private final Map<Integer, Build> builds = new HashMap<>();
-    private long turns;
+    private final Core core;
+    private InetSocketAddress bound;
     private long rereads;
 
     public Agent(Loop loop, Fields told) throws Malformed {
@@ -77,15 +71,18 @@
         for (Fields method : info.objects("Classes")) {
             names.put(method.text("Name"), methods.get(at++));
         }
-        IntFunction<Build> build = number ->
-                builds.computeIfAbsent(number, n -> new Build(n, methods.size()));
+        core = new Core(loop, rules, methods.size(), "");
         clients = new Clients(loop, rules, names, info, most, sockets / CLIENTS_PART / 2);
-        links = new Links(loop, rules, info, most);
-        registry = new Registry(loop, rules, links, build, told.address("discovery"), info);
-        News news = new News(loop, rules, build, names);
+        Fields ceilings = info.part("Ceilings");
+        links = new Links(loop, rules, Session::new, info.tenths("TickNs"),
+                ceilings.tenths("ConnectTimeoutNs", 2500), ceilings.tenths("IdleCloseNs", 100_000), most);
+        registry = new Registry(loop, rules, links, core::build, told.address("discovery"),
+                info.part("Rules").tenths("MustAskInNs", 0));
+        News news = new News(loop, rules, core::build, names);
         InetSocketAddress deskAddress = desk.address("address");
         long callTimeout = info.part("FamilyInfo").tenths("CallTimeoutNs", 20_000);
         ballots = new Ballots(loop, rules, news, deskAddress, callTimeout);
+        core.join(links, registry, ballots);
         bulletin = new Bulletin(loop, news, deskAddress, Math.max(callTimeout, 30_000), seed);
         if (told.has("known")) {
             registry.known(told.object("known"));
@@ -100,12 +97,12 @@
         Logger.info("rehearsed {} RPCs", new Rehearsal(info).play(REHEARSED_MS));
         loop.post(bulletin::listen);
         loop.post(this::report);
-        loop.start(this);
-        loop.listen(listen, 2 * most, clients::comer);
+        loop.start(core);
+        bound = loop.listen(listen, 2 * most, clients::comer);
     }
 
     public InetSocketAddress address() {
-        return loop.address();
+        return bound;
     }
 
     /** Stops at once, whatever is open. */
@@ -114,7 +111,8 @@
     }
 
     private void report() {
-        Logger.info("turns {}, faults {}, broken {}, rereads {}; {}; {}; {}; {}; {}", turns, Loop.faults(),
+        Logger.info("turns {}, builds {}, faults {}, broken {}, rereads {}; {}; {}; {}; {}; {}", core.turns(), core.builds(),
+                Loop.faults(),
                 Loop.broken(), rereads, clients, links, registry, ballots, bulletin);
         loop.at(loop.now() + REPORT, this::report);
     }
@@ -163,65 +161,4 @@
             loop.at(loop.now() + 100, this::endWhenDone);
         }
     }
-
-    @Override
-    public void now(long now) {
-        turns++;
-        rules.now(now);
-    }
-
-    @Override
-    public boolean next() {
-        return rules.next(this);
-    }
-
-    @Override
-    public void pick(Rpc rpc, Appliance appliance, long within) {
-        links.pick((Call) rpc, (Remote) appliance, within);
-    }
-
-    @Override
-    public void pushBack(Rpc rpc, long stayAway) {
-        ((Call) rpc).pushBack((stayAway + 9) / 10);
-    }
-
-    @Override
-    public void abort(Rpc rpc) {
-        ((Call) rpc).abort();
-    }
-
-    @Override
-    public void cancel(Rpc rpc, int pick) {
-        links.cancel((Call) rpc, pick);
-    }
-
-    @Override
-    public void probe(Appliance appliance) {
-        links.probe((Remote) appliance);
-    }
-
-    @Override
-    public void vote(Build build, int stage, int verdict) {
-        ballots.vote(build, stage, verdict);
-    }
-
-    @Override
-    public void watch() {
-        registry.watch();
-    }
-
-    @Override
-    public void fetch() {
-        registry.fetch();
-    }
-
-    @Override
-    public void wake(long delay) {
-        loop.at(loop.now() + delay, rules::woken);
-    }
-
-    @Override
-    public void note(String line) {
-        Logger.info(line);
-    }
 }
--- /dev/null
+++ b/src/main/java/honeygap/net/Front.java
@@ -0,0 +1,14 @@
+package honeygap.net;
+
+/** Who asks: opens RPCs, tells the module of them and takes their final answers ({@link Call}). */
+public interface Front {
+
+    /** The end of a connection that has just come in. */
+    Peer comer();
+
+    /** From now on connections are closed between RPCs. */
+    void leave();
+
+    /** How many connections there are. */
+    int count();
+}
--- a/src/main/java/honeygap/net/Loop.java
+++ b/src/main/java/honeygap/net/Loop.java
@@ -5,6 +5,8 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -83,12 +85,12 @@
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final SimpleIoProcessorPool<NioSession> pool;
     private final NioSocketConnector connector;
-    private NioSocketAcceptor acceptor;
+    private final List<NioSocketAcceptor> acceptors = new ArrayList<>();
     private final long zero = System.nanoTime();
     private long timerCount;
     private int calledOff;
     private long now;
-    private Core core;
+    private List<Core> cores = List.of();
     private volatile Thread thread;
     private volatile boolean over;
     Turns turns;
@@ -151,20 +153,24 @@
         return now;
     }
 
-    public void start(Core core) {
-        this.core = core;
+    public void start(Core... cores) {
+        this.cores = List.of(cores);
         Thread started = new Thread(this, "loop");
         started.setDaemon(true);
         started.start();
     }
 
-    public void listen(InetSocketAddress address, int backlog, Supplier<Peer> comers) throws IOException {
-        acceptor = new NioSocketAcceptor(this::onOwnThread, pool);
+    /** Where it listens, which tells the port where none was named; before the next call, from one thread. */
+    public InetSocketAddress listen(InetSocketAddress address, int backlog, Supplier<Peer> comers)
+            throws IOException {
+        NioSocketAcceptor acceptor = new NioSocketAcceptor(this::onOwnThread, pool);
         acceptor.setHandler(new Door(comers));
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(backlog);
         configure(acceptor.getSessionConfig());
+        acceptors.add(acceptor);
         acceptor.bind(address);
+        return acceptor.getLocalAddress();
     }
 
     /** Opens a connection; the peer hears whether it came up. Whoever gives up cancels what is returned. */
@@ -238,14 +244,9 @@
         processors.add(processor);
     }
 
-    /** Where it listens. */
-    public InetSocketAddress address() {
-        return acceptor.getLocalAddress();
-    }
-
     /** Closes everything; from another thread only. */
     public void end() {
-        acceptor.dispose();
+        acceptors.forEach(NioSocketAcceptor::dispose);
         connector.dispose();
         pool.dispose();
         over = true;
@@ -270,7 +271,9 @@
     /** One turn: tells all that was gathered, pulls the decisions dry. */
     void turn() {
         now = clock();
-        guarded(() -> core.now(now));
+        for (Core core : cores) {
+            guarded(() -> core.now(now));
+        }
         boolean more = true;
         while (more) {
             for (Runnable task = posted.poll(); task != null; task = posted.poll()) {
@@ -285,12 +288,14 @@
             for (Runnable told = gathered.poll(); told != null; told = gathered.poll()) {
                 guarded(told);
             }
-            guarded(this::decide);
+            for (Core core : cores) {
+                guarded(() -> decide(core));
+            }
             more = !gathered.isEmpty() || !posted.isEmpty();
         }
     }
 
-    private void decide() {
+    private static void decide(Core core) {
         boolean more = true;
         while (more) {
             more = core.next();
--- a/src/main/java/honeygap/net/clients/Client.java
+++ b/src/main/java/honeygap/net/clients/Client.java
@@ -4,6 +4,7 @@
 import honeygap.net.Loop;
 import honeygap.net.Peer;
 import honeygap.net.pg.Frames;
+import honeygap.net.pg.Query;
 import honeygap.net.pg.Statement;
 import honeygap.net.pg.Words;
 import honeygap.read.Malformed;
@@ -14,7 +15,7 @@
 import org.apache.mina.core.session.IoSession;
 
 /** A client's connection: its RPCs one after another, each answered whole before the next is read. */
-final class Client implements Peer {
+final class Client implements Peer, Query.Asker {
 
     /** A value of 64 KiB as hexadecimal digits, and the statement round it. */
     private static final int LONGEST = 2 * 65536 + 4096;
@@ -38,7 +39,7 @@
     private boolean writing;
     private boolean ending;
     private boolean gone;
-    private Call call;
+    private Query call;
     private Stage stage = Stage.NEW;
     private long cameAt;
     private long waitsSince;
@@ -103,7 +104,7 @@
     /** Nobody waits for the open RPC any more. */
     private void leave() {
         if (call != null) {
-            Call left = call;
+            Query left = call;
             drop();
             all.left(left);
         }
@@ -250,18 +251,21 @@
         }
     }
 
-    void answer(ByteBuffer... row) {
+    @Override
+    public void answer(ByteBuffer... row) {
         ByteBuffer[] parts = Arrays.copyOf(row, row.length + 1);
         parts[row.length] = Words.ready();
         finish(parts);
     }
 
-    void pushBack(long stayAwayMs) {
+    @Override
+    public void pushBack(long stayAwayMs) {
         all.pushedBack();
         finish(Words.error(Words.TOO_MANY, "pushed back, trying again is harmless", stayAwayMs));
     }
 
-    void abort() {
+    @Override
+    public void abort() {
         finish(Words.error(Words.GIVEN_UP, "aborted", 0));
     }
 
@@ -276,7 +280,7 @@
     /** Parts from the RPC: it is answered, or nobody waits any more. */
     private void drop() {
         call.guard.callOff();
-        call.client = null;
+        call.forget();
         all.closed(call);
         call = null;
     }
--- a/src/main/java/honeygap/net/clients/Clients.java
+++ b/src/main/java/honeygap/net/clients/Clients.java
@@ -3,8 +3,10 @@
 import honeygap.Rules;
 import honeygap.fleet.Method;
 import honeygap.fleet.Tenant;
+import honeygap.net.Front;
 import honeygap.net.Loop;
 import honeygap.net.Peer;
+import honeygap.net.pg.Query;
 import honeygap.net.pg.Statement;
 import honeygap.net.pg.Words;
 import honeygap.read.Fields;
@@ -16,7 +18,7 @@
 import java.util.Set;
 
 /** All clients of this agent, and the RPCs taken from them. */
-public final class Clients {
+public final class Clients implements Front {
 
     /** The protocol lets a connection go that has had no open RPC for so long. */
     private static final long KEPT = 20_000;
@@ -36,7 +38,7 @@
     /** Those whose start, or the rest of whose message, is waited for; longest so first. */
     private final Set<Client> waitedFor = new LinkedHashSet<>();
     private Loop.Timer sweep;
-    private final Map<String, Call> open = new HashMap<>();
+    private final Map<String, Query> open = new HashMap<>();
     private boolean leaving;
     private long malformed;
     private long unknown;
@@ -66,6 +68,7 @@
         }
     }
 
+    @Override
     public Peer comer() {
         return new Client(this);
     }
@@ -155,7 +158,7 @@
      * The RPC that the statement just read asks for; null where its method is not known, or its id is that of
      * an RPC that is open: who gave it out twice can't have two answers.
      */
-    Call taken(Client client, Statement statement) {
+    Query taken(Client client, Statement statement) {
         Method method = methods.get(statement.method());
         if (method == null) {
             unknown++;
@@ -168,7 +171,7 @@
         long now = loop.clock();
         // Rounded down: the client has counted since it sent, and the answer has a way to go.
         long deadline = now + Math.max(0, Math.min(statement.timeMs() * 10, method.deadline) - tick);
-        Call call = new Call(statement.id(), method, tenants.getOrDefault(statement.tenant(), unnamed),
+        Query call = new Query(statement.id(), method, tenants.getOrDefault(statement.tenant(), unnamed),
                 statement.key(), now, deadline, statement.hintMicros() / 100, statement.retry(), client,
                 statement.before(), statement.after());
         open.put(call.id, call);
@@ -176,7 +179,7 @@
         return call;
     }
 
-    void tell(Call call) {
+    void tell(Query call) {
         if (open.size() > mostOpen) {
             call.closed = true;
             loop.gather(() -> call.pushBack(0));
@@ -186,19 +189,19 @@
     }
 
     /** Guards against an RPC that the rules have lost by a fault: after they had their say in this turn. */
-    private void rescue(Call call) {
-        if (call.client != null) {
+    private void rescue(Query call) {
+        if (call.isAwaited()) {
             rescued++;
             call.closed = true;
             call.abort();
         }
     }
 
-    void left(Call call) {
+    void left(Query call) {
         loop.gather(() -> rules.left(call));
     }
 
-    void closed(Call call) {
+    void closed(Query call) {
         Loop.holds(open.remove(call.id, call));
     }
 
@@ -222,7 +225,7 @@
         return leaving;
     }
 
-    /** From now on connections are closed between RPCs. */
+    @Override
     public void leave() {
         leaving = true;
         for (Client client : new ArrayList<>(idle)) {
@@ -231,6 +234,7 @@
         idle.clear();
     }
 
+    @Override
     public int count() {
         return here.size();
     }
--- a/src/main/java/honeygap/net/desk/Ballots.java
+++ b/src/main/java/honeygap/net/desk/Ballots.java
@@ -3,6 +3,7 @@
 import honeygap.Rules;
 import honeygap.fleet.Build;
 import honeygap.fleet.Pick;
+import honeygap.net.Core;
 import honeygap.net.Loop;
 import honeygap.net.http.Answers;
 import honeygap.net.http.Connection;
@@ -12,7 +13,7 @@
 import java.nio.charset.StandardCharsets;
 
 /** Casts votes at the desk, one at a time, and hears how each was taken. */
-public final class Ballots {
+public final class Ballots implements Core.Poll {
 
     private static final String[] VERDICTS = {"none", "on", "hold", "back"};
     private static final int LONGEST = 65536;
@@ -41,6 +42,7 @@
     }
 
     /** A vote that the module has given up waiting for makes way for the next. */
+    @Override
     public void vote(Build build, int stage, int verdict) {
         if (open != null) {
             open.close();
--- /dev/null
+++ b/src/main/java/honeygap/net/links/Link.java
@@ -0,0 +1,225 @@
+package honeygap.net.links;
+
+import honeygap.fleet.Pick;
+import honeygap.net.Call;
+import honeygap.net.Loop;
+import honeygap.net.Peer;
+import honeygap.read.Malformed;
+import java.nio.ByteBuffer;
+import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.session.IoSession;
+
+/**
+ * A connection to an appliance, with at most one pick on it. A pick whose last byte has been handed over may
+ * have run, whatever comes after; one that has not never ran. What is said on it is the protocol's.
+ */
+public abstract class Link implements Peer {
+
+    protected final Links all;
+    protected final Remote remote;
+    protected IoSession session;
+    /** The connection is up and its start is over. */
+    protected boolean ready;
+    protected boolean over;
+    protected Call call;
+    protected int index;
+    /** When the pick on it times out. */
+    protected long upTo;
+    protected boolean handedOver;
+    protected boolean probing;
+    private ConnectFuture connecting;
+    private Loop.Timer timer;
+    private long restsSince;
+
+    protected Link(Links all, Remote remote) {
+        this.all = all;
+        this.remote = remote;
+    }
+
+    /** The connection is up: what it begins with, or {@link #idle} where it begins with nothing. */
+    protected abstract void begin();
+
+    /** Writes the pick that it has taken on. */
+    protected abstract void send();
+
+    protected abstract void sendProbe();
+
+    /** What has come in, as far as the connection is not over. */
+    protected abstract void read(ByteBuffer bytes) throws Malformed;
+
+    /** Bytes are kept that are no whole message yet. */
+    protected abstract boolean isHalfRead();
+
+    /** It rests from now on. */
+    protected void rested() {
+    }
+
+    final Remote remote() {
+        return remote;
+    }
+
+    /** Opens the connection where that has not been done. */
+    final void connect(long within) {
+        if (connecting == null) {
+            due(all.loop.now() + within, this::late);
+            connecting = all.loop.connect(remote.address, this);
+        }
+    }
+
+    /** Takes a probe on instead of a pick. */
+    final void probe() {
+        probing = true;
+        if (ready) {
+            dueProbe();
+        }
+    }
+
+    private void dueProbe() {
+        due(all.loop.now() + all.connectWithin, this::late);
+        sendProbe();
+    }
+
+    /** Takes a pick on, to be sent as soon as the connection is ready. */
+    final void carry(Call call, int index, long within) {
+        // One pick at a time, never on a connection that is over, nor for an RPC that has its answer.
+        Loop.holds(!over && this.call == null && !probing && !call.isAnswered());
+        this.call = call;
+        this.index = index;
+        upTo = all.loop.now() + within;
+        handedOver = false;
+        if (ready) {
+            dueSend();
+        }
+    }
+
+    private void dueSend() {
+        due(upTo, this::late);
+        send();
+    }
+
+    @Override
+    public final void opened(IoSession session) {
+        this.session = session;
+        if (over) {
+            session.closeNow();
+        } else {
+            begin();
+        }
+    }
+
+    @Override
+    public final void unreachable() {
+        end(Pick.CONNECT_FAILED);
+    }
+
+    @Override
+    public final void written() {
+        handedOver |= ready && call != null;
+    }
+
+    @Override
+    public void closed() {
+        end(handedOver ? Pick.RESET : Pick.CONNECT_FAILED);
+    }
+
+    private void late() {
+        end(handedOver ? Pick.TIMEOUT : Pick.CONNECT_FAILED);
+    }
+
+    /** Stops waiting for the pick on it. */
+    final void cancel(Call call, int index) {
+        if (this.call == call && this.index == index) {
+            end(Pick.CANCELLED);
+        }
+    }
+
+    @Override
+    public final void received(ByteBuffer bytes) {
+        if (over) {
+            return;
+        }
+        try {
+            read(bytes);
+        } catch (Malformed e) {
+            all.unreadable();
+            end(handedOver ? Pick.RESET : Pick.CONNECT_FAILED);
+        }
+    }
+
+    /**
+     * Whether it still rests, with nothing come that nobody asked for, read or not. Guards against a second
+     * copy or noise behind an answer, which would be taken for the answer of the next pick.
+     */
+    final boolean isQuiet() {
+        return !isHalfRead() && all.loop.isQuiet(session);
+    }
+
+    final boolean hasRested() {
+        return all.loop.now() >= restsSince + 2 * all.tick;
+    }
+
+    /** Ready for a pick: the first, or the next. */
+    protected final void idle() {
+        if (call != null && ready) {
+            // Ready again without an answer to what was asked.
+            end(handedOver ? Pick.ERROR : Pick.CONNECT_FAILED);
+            return;
+        }
+        probing &= !ready;
+        ready = true;
+        if (call != null && call.closed) {
+            // Guards against sending for an RPC that was answered, or left, while the connection came up.
+            settle(Pick.MOOT);
+        }
+        if (call != null) {
+            dueSend();
+        } else if (probing) {
+            dueProbe();
+        } else {
+            due(all.loop.now() + all.idleFor, () -> end(Pick.CANCELLED));
+            rested();
+            restsSince = all.loop.now();
+            all.rest(this);
+        }
+    }
+
+    /** The pick on it has ended; what follows must come soon, or the connection is of no use. */
+    protected final Call finish(int outcome) {
+        due(all.loop.now() + all.connectWithin, () -> end(Pick.CANCELLED));
+        return settle(outcome);
+    }
+
+    private Call settle(int outcome) {
+        Call done = call;
+        call = null;
+        handedOver = false;
+        all.ended(done, index, outcome);
+        return done;
+    }
+
+    /** What becomes of it by then unless something else comes first. */
+    private void due(long at, Runnable then) {
+        if (timer != null) {
+            timer.callOff();
+        }
+        timer = all.loop.at(at, then);
+    }
+
+    /** Closes the connection at once; a pick still on it ends so. */
+    protected final void end(int outcome) {
+        if (over) {
+            return;
+        }
+        over = true;
+        timer.callOff();
+        if (session != null) {
+            all.loop.cut(session);
+        } else if (connecting != null) {
+            connecting.cancel();
+        }
+        all.gone(this);
+        if (call != null) {
+            settle(outcome);
+        }
+    }
+}
--- a/src/main/java/honeygap/net/appliances/Links.java
+++ b/src/main/java/honeygap/net/links/Links.java
@@ -1,25 +1,26 @@
-package honeygap.net.appliances;
+package honeygap.net.links;
 
 import honeygap.Rules;
 import honeygap.fleet.Appliance;
 import honeygap.fleet.Pick;
+import honeygap.net.Back;
+import honeygap.net.Call;
 import honeygap.net.Loop;
-import honeygap.net.clients.Call;
-import honeygap.read.Fields;
-import honeygap.read.Malformed;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.function.BiFunction;
 
-/** All connections of this agent to appliances. */
-public final class Links {
+/** All connections of one back to its appliances. */
+public final class Links implements Back {
 
     /** Part of the time that appliances keep an idle connection for which this agent does. */
     private static final double KEPT = 0.8;
 
     final Loop loop;
     private final Rules rules;
+    private final BiFunction<Links, Remote, Link> kind;
     final long tick;
     final long connectWithin;
     final long idleFor;
@@ -30,20 +31,36 @@
     private long unquiet;
     private long opened;
 
-    public Links(Loop loop, Rules rules, Fields info, int most) throws Malformed {
+    /**
+     * Times are tenths of a millisecond: the agent's own step, how long connecting may take, for how long the
+     * appliances keep an idle connection; most is the number of connections. The kind is the protocol's.
+     */
+    public Links(Loop loop, Rules rules, BiFunction<Links, Remote, Link> kind, long tick, long connectWithin,
+                 long idleClose, int most) {
         this.loop = loop;
         this.rules = rules;
+        this.kind = kind;
+        this.tick = tick;
+        this.connectWithin = connectWithin;
         this.most = most;
-        tick = info.tenths("TickNs");
-        Fields ceilings = info.part("Ceilings");
-        connectWithin = ceilings.tenths("ConnectTimeoutNs", 2500);
-        idleFor = (long) (KEPT * ceilings.tenths("IdleCloseNs", 100_000));
+        idleFor = (long) (KEPT * idleClose);
+    }
+
+    @Override
+    public Appliance appliance(long id) {
+        return new Remote(id);
+    }
+
+    /** Whole milliseconds left until then, at least one. */
+    public long leftMs(long upTo) {
+        return Math.max(1, (upTo - loop.clock()) / 10);
     }
 
     /** Without a descriptor for a connection the pick is not sent at all. */
-    public void pick(Call call, Remote remote, long within) {
+    @Override
+    public void pick(Call call, Appliance appliance, long within) {
         int index = call.picks.size() - 1;
-        Link link = take(remote);
+        Link link = take((Remote) appliance);
         if (link == null) {
             ended(call, index, Pick.MOOT);
             return;
@@ -53,8 +70,9 @@
     }
 
     /** Asks whether the appliance is ready; the module has no use for the answer but what it keeps open. */
-    public void probe(Remote remote) {
-        Link link = take(remote);
+    @Override
+    public void probe(Appliance appliance) {
+        Link link = take((Remote) appliance);
         if (link != null) {
             link.probe();
             link.connect(connectWithin);
@@ -69,7 +87,7 @@
             link = rested(remote);
         }
         if (link == null && (links.size() < most || makeRoom())) {
-            link = new Link(this, remote);
+            link = kind.apply(this, remote);
             links.add(link);
             opened++;
         }
@@ -102,15 +120,16 @@
         return false;
     }
 
+    @Override
     public void cancel(Call call, int index) {
         for (Link link : new ArrayList<>(links)) {
             link.cancel(call, index);
         }
     }
 
-    /** What is idle to an appliance that drains, is gone or has started anew is of no use. */
-    public void dropIdle(Remote remote) {
-        for (Link link : new ArrayList<>(remote.idle)) {
+    @Override
+    public void dropIdle(Appliance appliance) {
+        for (Link link : new ArrayList<>(((Remote) appliance).idle)) {
             link.end(Pick.CANCELLED);
         }
     }
--- a/src/main/java/honeygap/net/appliances/Remote.java
+++ b/src/main/java/honeygap/net/links/Remote.java
@@ -1,4 +1,4 @@
-package honeygap.net.appliances;
+package honeygap.net.links;
 
 import honeygap.fleet.Appliance;
 import java.net.InetSocketAddress;
--- a/src/main/java/honeygap/net/list/Registry.java
+++ b/src/main/java/honeygap/net/list/Registry.java
@@ -6,11 +6,12 @@
 import honeygap.fleet.Appliance;
 import honeygap.fleet.Build;
 import honeygap.fleet.Location;
+import honeygap.net.Back;
+import honeygap.net.Core;
 import honeygap.net.Loop;
-import honeygap.net.appliances.Links;
-import honeygap.net.appliances.Remote;
 import honeygap.net.http.Lines;
 import honeygap.net.http.Stream;
+import honeygap.net.links.Remote;
 import honeygap.read.Fields;
 import honeygap.read.Malformed;
 import java.io.IOException;
@@ -22,7 +23,7 @@
 import java.util.function.IntFunction;
 
 /** The list of appliances: the watch on it, the whole of it on demand, and the one it started from. */
-public final class Registry {
+public final class Registry implements Core.Directory {
 
     /** As long as nothing changes, the list says so this often. */
     private static final long BEAT = 20_000;
@@ -30,7 +31,7 @@
 
     private final Loop loop;
     private final Rules rules;
-    private final Links links;
+    private final Back back;
     private final IntFunction<Build> builds;
     private InetSocketAddress address;
     private final long answerWithin;
@@ -47,14 +48,15 @@
     private boolean told;
     private long failures;
 
-    public Registry(Loop loop, Rules rules, Links links, IntFunction<Build> builds, InetSocketAddress address,
-            Fields info) throws Malformed {
+    /** The list is to be asked again within this time, in tenths of a millisecond, or 0 where none is set. */
+    public Registry(Loop loop, Rules rules, Back back, IntFunction<Build> builds, InetSocketAddress address,
+            long askWithin) {
         this.loop = loop;
         this.rules = rules;
-        this.links = links;
+        this.back = back;
         this.builds = builds;
         this.address = address;
-        answerWithin = info.part("Rules").tenths("MustAskInNs", BEATS_TO_SILENCE * BEAT) / 2;
+        answerWithin = (askWithin > 0 ? askWithin : BEATS_TO_SILENCE * BEAT) / 2;
         zeroMs = System.currentTimeMillis() - loop.clock() / 10;
     }
 
@@ -74,6 +76,7 @@
         }
     }
 
+    @Override
     public void watch() {
         if (watch != null) {
             watch.close();
@@ -82,6 +85,7 @@
         watch = stream("?stream=1&index=" + version, this::line, whole -> failed());
     }
 
+    @Override
     public void fetch() {
         if (fetch != null) {
             fetch.close();
@@ -148,7 +152,7 @@
             rules.listEnds();
             for (Remote remote : remotes.values()) {
                 if (remote.state != Appliance.UP) {
-                    links.dropIdle(remote);
+                    back.dropIdle(remote);
                 }
             }
             remotes.values().removeIf(remote -> remote.state == Appliance.GONE && remote.room.out == 0);
@@ -166,9 +170,9 @@
         String zone = entry.text("zone", "");
         int cell = entry.has("group") ? entry.rounded("group") : 0;
         return () -> {
-            Remote remote = remotes.computeIfAbsent(name, n -> new Remote(named++));
+            Remote remote = remotes.computeIfAbsent(name, n -> (Remote) back.appliance(named++));
             if (at != null && !at.equals(remote.address) || remote.startedAt != startedAt) {
-                links.dropIdle(remote);
+                back.dropIdle(remote);
             }
             remote.address = at != null ? at : remote.address;
             rules.listed(remote, builds.apply(release), locations.computeIfAbsent(zone, n -> new Location()),
--- a/src/main/java/honeygap/wire/Agent.java
+++ b/src/main/java/honeygap/wire/Agent.java
@@ -158,6 +158,7 @@
     }
 
     private Build build(int number) {
+        builds.values().removeIf(build -> build.left);
         return builds.computeIfAbsent(number, n -> new Build(n, methods.size()));
     }
 
--- a/src/test/java/honeygap/net/LoopTest.java
+++ b/src/test/java/honeygap/net/LoopTest.java
@@ -36,11 +36,11 @@
             }
         });
         assertTrue(fires(loop), "a timer before any connection");
-        loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 10,
+        InetSocketAddress at = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 10,
                 () -> new Echo(comers.getAndIncrement() == 0 ? kind : null));
-        assertEquals(-1, echo(loop));
+        assertEquals(-1, echo(at));
         assertTrue(fires(loop), "a timer after the only connection");
-        assertEquals('x', echo(loop));
+        assertEquals('x', echo(at));
         assertEquals(faults + 1, Loop.faults());
         loop.end();
     }
@@ -51,8 +51,8 @@
         return fired.await(10, TimeUnit.SECONDS);
     }
 
-    private static int echo(Loop loop) throws Exception {
-        try (Socket socket = new Socket(loop.address().getAddress(), loop.address().getPort())) {
+    private static int echo(InetSocketAddress at) throws Exception {
+        try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
             socket.getOutputStream().write('x');
             return socket.getInputStream().read();
         }
