--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -175,6 +175,7 @@
         rpc.out--;
         pick.build.room.out--;
         appliance.room.out--;
+        pick.zone.out--;
         pick.build.inFlight[rpc.method.index]--;
         pick.build.warmInFlight[rpc.method.index] -= pick.cold ? 0 : 1;
         way(appliance.zone, rpc, outcome, lag);
@@ -567,7 +568,7 @@
     }
 
     /** Not yet announced, or announced and not released: what the exposure rule calls on trial. */
-    private boolean onTrial(Build build) {
+    public boolean onTrial(Build build) {
         return isNew(build) && (build != newest || phase != Build.RELEASED);
     }
 
@@ -762,6 +763,7 @@
             appliance.failing = 0;
             appliance.silent = 0;
             appliance.awayUntil = LONG_AGO;
+            appliance.barredUntil = LONG_AGO;
             appliance.room.least = 1;
             appliance.room.each = LIMIT_START * (now < startedAt + cold.warmAfter ? cold.from / 2 : 1);
         }
@@ -907,6 +909,7 @@
         appliance.build.room.out++;
         appliance.room.out++;
         appliance.zone.sentAt = now;
+        appliance.zone.out++;
         appliance.build.inFlight[rpc.method.index]++;
         appliance.build.warmInFlight[rpc.method.index] += isCold ? 0 : 1;
         if (isCold) {
@@ -951,7 +954,9 @@
 
     /** Rules on appliances for one RPC: state, drains, effects, keys, exposure and cold starts. */
     private boolean allowed(Rpc rpc, Appliance appliance, Pick mayRun) {
-        if (appliance.state != Appliance.UP || !keyAllows(rpc, appliance.build)) {
+        boolean barred = now < appliance.barredUntil
+                || now < appliance.zone.limitedUntil && appliance.zone.out >= appliance.zone.most;
+        if (appliance.state != Appliance.UP || barred || !keyAllows(rpc, appliance.build)) {
             return false;
         }
         Method method = rpc.method;
--- a/src/main/java/honeygap/cli/Configured.java
+++ b/src/main/java/honeygap/cli/Configured.java
@@ -4,18 +4,28 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import honeygap.net.Agent;
+import honeygap.net.Events;
+import honeygap.net.Flags;
 import honeygap.net.Loop;
+import honeygap.net.Protocol;
+import honeygap.net.Queries;
 import honeygap.read.Fields;
+import honeygap.read.FlagSheet;
 import honeygap.read.Malformed;
+import honeygap.read.Template;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.Callable;
+import org.tinylog.configuration.Configuration;
 import picocli.CommandLine;
 
-/** A subcommand that makes an agent of a configuration: what is wrong with it is one line and exit code 2. */
+/** A subcommand that makes an agent of its files: what is wrong with them is told and ends with exit code 2. */
 abstract class Configured implements Callable<Integer> {
 
     @CommandLine.Spec
@@ -25,36 +35,94 @@
             description = "What the agent is told at start, as JSON (default: the file in PROXY_CONFIG).")
     private Path config;
 
-    /** Goes on with the agent, not yet started, and what it was told. */
-    abstract void run(Agent agent, Fields told, PrintWriter out) throws IOException, Malformed,
-            InterruptedException;
+    @CommandLine.Option(names = "--flags", paramLabel = "FILE",
+            description = "Answer flags as well, as this Jsonnet file says; without --config, flags alone.")
+    private Path flags;
+
+    @CommandLine.Option(names = "--log", paramLabel = "FORM", defaultValue = "text",
+            description = "How the log is written: text, or json, an event a line (default: text).")
+    private Form form;
+
+    /** How the log is written. */
+    enum Form { text, json }
+
+    private final List<Agent.Source> sources = new ArrayList<>();
+    private Fields told;
+    private FlagSheet sheet;
+
+    /** Goes on with the agent, not yet started. */
+    abstract void run(Agent agent, PrintWriter out) throws IOException, Malformed, InterruptedException;
 
     @Override
     public Integer call() throws InterruptedException {
-        if (config == null) {
-            return fail("no configuration: give --config or set PROXY_CONFIG");
+        if (form == Form.json) {
+            Configuration.set("writer", "json lines");
         }
+        if (config == null && flags == null) {
+            return fail("no configuration: give --config, --flags or set PROXY_CONFIG");
+        }
+        Path file = config;
         try {
-            Fields told = read();
-            run(new Agent(new Loop(), told), told, spec.commandLine().getOut());
+            Loop loop = new Loop();
+            List<Protocol> protocols = new ArrayList<>();
+            if (config != null) {
+                told = read();
+                Queries queries = new Queries(loop, told);
+                protocols.add(queries);
+                sources.add(() -> queries.reread(read()));
+                if (told.has("name")) {
+                    Events.agent(told.text("name"));
+                }
+            }
+            file = flags;
+            if (flags != null) {
+                sheet = FlagSheet.of(Template.read(flags));
+                if (config == null && !sheet.name.isEmpty()) {
+                    Events.agent(sheet.name);
+                }
+                Flags protocol = new Flags(loop, sheet, new SecureRandom().nextLong());
+                protocols.add(protocol);
+                sources.add(() -> protocol.reread(FlagSheet.of(Template.read(flags))));
+            }
+            run(new Agent(loop, protocols), spec.commandLine().getOut());
             return 0;
         } catch (Malformed e) {
-            return fail(config + ": " + e.getMessage());
+            e.getMessage().lines().forEach(line -> fail(fileOf(e) + ": " + line));
+            return 2;
         } catch (NoSuchFileException e) {
-            return fail(config + ": no such file");
+            return fail(e.getFile() + ": no such file");
         } catch (JsonProcessingException e) {
-            return fail(config + ": not JSON");
+            return fail(file + ": not JSON");
         } catch (IOException e) {
             return fail(e.getMessage());
         }
     }
 
+    private Path fileOf(Malformed e) {
+        return told == null && config != null ? config : sheet == null && flags != null ? flags : config;
+    }
+
     private int fail(String why) {
         spec.commandLine().getErr().println(spec.name() + ": " + why.lines().findFirst().orElse(""));
         return 2;
     }
 
-    final Fields read() throws IOException, Malformed {
+    /** All files of the agent, to be read once more. */
+    final List<Agent.Source> sources() {
+        return sources;
+    }
+
+    /** What the agent is told at start; null where it answers flags alone. */
+    final Fields told() {
+        return told;
+    }
+
+    /** Null where no flags are answered. */
+    final FlagSheet sheet() {
+        return sheet;
+    }
+
+    private Fields read() throws IOException, Malformed {
         try (JsonParser parser = new JsonFactory().createParser(Files.readAllBytes(config))) {
             return Fields.document(parser);
         }
--- a/src/main/java/honeygap/cli/Main.java
+++ b/src/main/java/honeygap/cli/Main.java
@@ -11,7 +11,8 @@
 @CommandLine.Command(name = "honeygap", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
         synopsisSubcommandLabel = "<subcommand>",
         description = "A proxy that tries out new builds on live traffic.",
-        subcommands = {Serve.class, Check.class, VersionCommand.class})
+        subcommands = {Serve.class, Check.class, Render.class, Standin.class,
+            VersionCommand.class})
 public final class Main implements Runnable {
 
     @CommandLine.Spec
--- a/src/main/java/honeygap/cli/Serve.java
+++ b/src/main/java/honeygap/cli/Serve.java
@@ -1,8 +1,6 @@
 package honeygap.cli;
 
 import honeygap.net.Agent;
-import honeygap.read.Fields;
-import honeygap.read.Malformed;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.lang.reflect.Proxy;
@@ -11,13 +9,13 @@
 import picocli.CommandLine;
 
 @CommandLine.Command(name = "serve", mixinStandardHelpOptions = true,
-        description = "Run one agent on sockets. On SIGHUP it reads its configuration again and asks the list"
-                + " and the desk at the addresses named there.")
+        description = "Run one agent on sockets. On SIGHUP it reads its files again: the list, the desk and the flag"
+                + " servers are those named there from then on.")
 final class Serve extends Configured {
 
     @Override
-    void run(Agent agent, Fields told, PrintWriter out) throws IOException, Malformed, InterruptedException {
-        onHangUp(() -> agent.reread(this::read));
+    void run(Agent agent, PrintWriter out) throws IOException, InterruptedException {
+        onHangUp(() -> agent.reread(sources()));
         agent.start();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
--- /dev/null
+++ b/src/main/java/honeygap/cli/Standin.java
@@ -0,0 +1,74 @@
+package honeygap.cli;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import honeygap.read.Fields;
+import honeygap.read.Malformed;
+import honeygap.read.Template;
+import honeygap.standin.FlagServer;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import picocli.CommandLine;
+
+@CommandLine.Command(name = "standin", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "<kind>",
+        description = "Stand in for the servers behind an agent, on loopback.", subcommands = Standin.Flags.class)
+final class Standin implements Runnable {
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "say what for, such as flags");
+    }
+
+    @CommandLine.Command(name = "flags", mixinStandardHelpOptions = true,
+            description = "Flag servers on neighbouring ports, until the end. POST to /standin/drain, /undrain,"
+                    + " /flags, /fail or /delay changes one; docs/flags.md has the bodies.")
+    static final class Flags implements Callable<Integer> {
+
+        @CommandLine.Spec
+        private CommandLine.Model.CommandSpec spec;
+
+        @CommandLine.Option(names = "--port", defaultValue = "18101", description = "The first port.")
+        private int port;
+
+        @CommandLine.Option(names = "--count", defaultValue = "3", description = "How many servers.")
+        private int count;
+
+        @CommandLine.Option(names = "--flags", paramLabel = "FILE",
+                description = "Their flags, as Jsonnet (default: a few of all types).")
+        private Path flags;
+
+        @Override
+        public Integer call() throws IOException, InterruptedException {
+            try {
+                for (int i = 0; i < count; i++) {
+                    new FlagServer(new InetSocketAddress(InetAddress.getLoopbackAddress(), port + i), read());
+                }
+            } catch (Malformed e) {
+                spec.commandLine().getErr().println("standin: " + flags + ": " + e.getMessage());
+                return 2;
+            }
+            spec.commandLine().getOut().println("flag servers on 127.0.0.1, ports " + port + " to "
+                    + (port + count - 1) + "; end with Ctrl-C");
+            new CountDownLatch(1).await();
+            return 0;
+        }
+
+        private Fields read() throws IOException, Malformed {
+            if (flags != null) {
+                return Template.read(flags);
+            }
+            try (InputStream in = Standin.class.getResourceAsStream("/flags.json");
+                    JsonParser parser = new JsonFactory().createParser(in)) {
+                return Fields.document(parser);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/flags/Evaluation.java
@@ -0,0 +1,36 @@
+package honeygap.flags;
+
+/** One evaluation of one client, which ends exactly once. */
+public class Evaluation {
+
+    static final int NEW = 0;
+    static final int WAITING = 1;
+    static final int ANSWERED = 2;
+    static final int PUSHED_BACK = 3;
+    static final int ABORTED = 4;
+    static final int ENDED = 5;
+
+    public final Question question;
+    public final long takenAt;
+    /** When the client gives it up. */
+    public final long deadline;
+    /** The flag-set version that the client says it holds; {@link Served#NO_VERSION} where it says none. */
+    public final long holds;
+
+    int state = NEW;
+    /** The pick that it waits for; null before one is asked for. */
+    Shared shared;
+    Served served;
+    long stayAway;
+
+    public Evaluation(Question question, long takenAt, long deadline, long holds) {
+        this.question = question;
+        this.takenAt = takenAt;
+        this.deadline = deadline;
+        this.holds = holds;
+    }
+
+    public final boolean isEnded() {
+        return state == ENDED;
+    }
+}
--- a/src/main/java/honeygap/fleet/Appliance.java
+++ b/src/main/java/honeygap/fleet/Appliance.java
@@ -25,6 +25,8 @@
     public int silent;
     /** Left out of picks until then. */
     public long awayUntil = Long.MIN_VALUE / 2;
+    /** Gets nothing until then, by its own word. */
+    public long barredUntil = Long.MIN_VALUE / 2;
     /** Work that this agent may send it while it is cold, and as of when. */
     public double credit;
     public long creditAt = Long.MIN_VALUE / 2;
--- a/src/main/java/honeygap/fleet/Pick.java
+++ b/src/main/java/honeygap/fleet/Pick.java
@@ -17,6 +17,7 @@
     public final Appliance appliance;
     /** The build that the appliance ran when the pick went out. */
     public final Build build;
+    public final Location zone;
     public final long sentAt;
     public final boolean cold;
     public int outcome = OUT;
@@ -25,6 +26,7 @@
         this.rpc = rpc;
         this.appliance = appliance;
         this.build = appliance.build;
+        this.zone = appliance.zone;
         this.sentAt = sentAt;
         this.cold = cold;
     }
--- a/src/main/java/honeygap/net/Back.java
+++ b/src/main/java/honeygap/net/Back.java
@@ -3,7 +3,7 @@
 import honeygap.fleet.Appliance;
 
 /** Who serves: carries out picks and tells the module how each ended. */
-public interface Back {
+public interface Back extends Counters.Group {
 
     /** The record of an appliance that the list names for the first time. */
     Appliance appliance(long id);
--- a/src/main/java/honeygap/net/Call.java
+++ b/src/main/java/honeygap/net/Call.java
@@ -1,5 +1,6 @@
 package honeygap.net;
 
+import honeygap.fleet.Appliance;
 import honeygap.fleet.Method;
 import honeygap.fleet.Rpc;
 import honeygap.fleet.Tenant;
@@ -29,6 +30,10 @@
         return answered;
     }
 
+    /** A pick of it goes to this appliance. */
+    public void picked(Appliance appliance) {
+    }
+
     /** Final answer: pushed back; best not asked again before so many tenths of a millisecond have passed. */
     public abstract void pushBack(long stayAway);
 
--- a/src/main/java/honeygap/net/Core.java
+++ b/src/main/java/honeygap/net/Core.java
@@ -81,6 +81,7 @@
 
     @Override
     public void pick(Rpc rpc, Appliance appliance, long within) {
+        ((Call) rpc).picked(appliance);
         back.pick((Call) rpc, appliance, within);
     }
 
--- /dev/null
+++ b/src/main/java/honeygap/net/Counters.java
@@ -0,0 +1,50 @@
+package honeygap.net;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Counters in groups with names: the same for a line that people read and for one that programs do. */
+public final class Counters {
+
+    /** Something that counts. */
+    public interface Group {
+
+        void report(Counters counters);
+    }
+
+    private final Map<String, Map<String, Long>> groups = new LinkedHashMap<>();
+    private Map<String, Long> group = Map.of();
+
+    /** Names are in small letters; a group named twice goes on. */
+    public Counters group(String name, Group counts) {
+        group = groups.computeIfAbsent(name, n -> new LinkedHashMap<>());
+        counts.report(this);
+        return this;
+    }
+
+    public void count(String name, long value) {
+        group.put(name, value);
+    }
+
+    /** Values by group and name, in the order of their coming. */
+    public Map<String, Map<String, Long>> groups() {
+        return groups;
+    }
+
+    /** A group in square brackets; counters that stand at zero are left out. */
+    @Override
+    public String toString() {
+        StringBuilder words = new StringBuilder();
+        groups.forEach((name, counters) -> {
+            words.append(words.length() > 0 ? " " : "").append(name).append('[');
+            int before = words.length();
+            counters.forEach((counter, value) -> {
+                if (value != 0) {
+                    words.append(words.length() > before ? ", " : "").append(counter).append(' ').append(value);
+                }
+            });
+            words.append(']');
+        });
+        return words.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/net/Events.java
@@ -0,0 +1,71 @@
+package honeygap.net;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.util.Map;
+import org.tinylog.Logger;
+import org.tinylog.ThreadContext;
+
+/**
+ * Events for the log, with the ids that belong to them: a line for people, and one field each where the log is
+ * written as JSON. Ids are those of an agent, an RPC, a pick (its number, from 0) and an appliance.
+ */
+public final class Events {
+
+    /** The field that holds counters, as JSON. */
+    public static final String COUNTERS = "counters";
+
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private Events() {
+    }
+
+    /** All that is logged from now on by this thread, and those that it starts, is this agent's. */
+    public static void agent(String name) {
+        ThreadContext.put("agent", name);
+    }
+
+    public static void counters(Counters counters) {
+        ThreadContext.put(COUNTERS, json(counters));
+        try {
+            Logger.info("counters {}", counters);
+        } finally {
+            ThreadContext.remove(COUNTERS);
+        }
+    }
+
+    /** Something wrong with one pick; not for what happens to every RPC. */
+    public static void pick(String rpc, int pick, long appliance, String words) {
+        ThreadContext.put("rpc", rpc);
+        ThreadContext.put("pick", String.valueOf(pick));
+        ThreadContext.put("appliance", String.valueOf(appliance));
+        try {
+            Logger.warn("RPC {}, pick {}, appliance {}: {}", rpc, pick, appliance, words);
+        } finally {
+            ThreadContext.remove("rpc");
+            ThreadContext.remove("pick");
+            ThreadContext.remove("appliance");
+        }
+    }
+
+    private static String json(Counters counters) {
+        StringWriter words = new StringWriter();
+        try (JsonGenerator out = JSON.createGenerator(words)) {
+            out.writeStartObject();
+            for (Map.Entry<String, Map<String, Long>> group : counters.groups().entrySet()) {
+                out.writeObjectFieldStart(group.getKey());
+                for (Map.Entry<String, Long> counter : group.getValue().entrySet()) {
+                    out.writeNumberField(counter.getKey(), counter.getValue());
+                }
+                out.writeEndObject();
+            }
+            out.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return words.toString();
+    }
+}
--- a/src/main/java/honeygap/net/Front.java
+++ b/src/main/java/honeygap/net/Front.java
@@ -1,7 +1,7 @@
 package honeygap.net;
 
 /** Who asks: opens RPCs, tells the module of them and takes their final answers ({@link Call}). */
-public interface Front {
+public interface Front extends Counters.Group {
 
     /** The end of a connection that has just come in. */
     Peer comer();
--- /dev/null
+++ b/src/main/java/honeygap/net/Protocol.java
@@ -0,0 +1,28 @@
+package honeygap.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/** One protocol that an agent speaks: a core with its front and back, on the agent's loop. */
+public interface Protocol extends Counters.Group {
+
+    /** What turns on the loop. */
+    List<Loop.Core> cores();
+
+    /** Makes ready, before the loop turns. */
+    default void prepare() {
+    }
+
+    /** On the loop, in its first turn. */
+    void begin();
+
+    /** Lets clients come; where. */
+    InetSocketAddress listen() throws IOException;
+
+    /** From now on connections are closed between RPCs. */
+    void leave();
+
+    /** How many clients are connected. */
+    int count();
+}
--- a/src/main/java/honeygap/net/Rehearsal.java
+++ b/src/main/java/honeygap/net/Rehearsal.java
@@ -51,7 +51,7 @@
     }
 
     /** Goes on for so long, in milliseconds; how many RPCs were played. */
-    int play(long ms) throws Malformed {
+    int play(long ms) {
         long end = System.nanoTime() + ms * 1_000_000;
         int played = 0;
         while (System.nanoTime() < end) {
@@ -71,7 +71,16 @@
         return played;
     }
 
-    private void take(int number) throws Malformed {
+    private void take(int number) {
+        try {
+            read(number);
+        } catch (Malformed e) {
+            // What is made up here can be read.
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void read(int number) throws Malformed {
         Method method = methods.get(number % methods.size());
         frames.feed(Words.query("SELECT content FROM kv WHERE name = '" + number + "' /* id=" + number
                 + ",c=m,t=t,d=480,h=1000 */"));
--- /dev/null
+++ b/src/main/java/honeygap/net/askers/Tags.java
@@ -0,0 +1,97 @@
+package honeygap.net.askers;
+
+import honeygap.flags.Served;
+import honeygap.net.ofrep.Request;
+
+/**
+ * Entity tags of bulk answers, made by the agent of what the answer says, so that they hold whichever server
+ * gave it; each also tells the newest flag-set version in it. And the words of statuses.
+ */
+final class Tags {
+
+    private static final int MOST_TAGS = 16;
+
+    private Tags() {
+    }
+
+    static String of(Served served) {
+        return "\"" + (served.newest == Served.NO_VERSION ? "" : served.newest) + "-"
+                + Long.toHexString(Request.hash(served.body)) + "\"";
+    }
+
+    /** Whether a list of tags, perhaps null, holds this one; weak ones count, as RFC 9110 has it. */
+    static boolean isAmong(String tag, String list) {
+        for (String one : split(list)) {
+            if (one.equals(tag)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** The newest version that a client holds by the tags that it names. */
+    static long version(String list) {
+        long version = Served.NO_VERSION;
+        for (String one : split(list)) {
+            int dash = one.indexOf('-');
+            if (dash > 1 && dash <= 19 && one.substring(1, dash).chars().allMatch(c -> c >= '0' && c <= '9')) {
+                version = Math.max(version, Long.parseLong(one.substring(1, dash)));
+            }
+        }
+        return version;
+    }
+
+    private static String[] split(String list) {
+        String[] tags = list == null ? new String[0] : list.split(",", MOST_TAGS);
+        for (int i = 0; i < tags.length; i++) {
+            String tag = tags[i].strip();
+            tags[i] = tag.startsWith("W/") ? tag.substring(2) : tag;
+        }
+        return tags;
+    }
+
+    static String reason(int status) {
+        switch (status) {
+            case 200:
+                return "OK";
+            case 202:
+                return "Accepted";
+            case 204:
+                return "No Content";
+            case 304:
+                return "Not Modified";
+            case 400:
+                return "Bad Request";
+            case 401:
+                return "Unauthorized";
+            case 403:
+                return "Forbidden";
+            case 404:
+                return "Not Found";
+            case 405:
+                return "Method Not Allowed";
+            case 408:
+                return "Request Timeout";
+            case 413:
+                return "Content Too Large";
+            case 414:
+                return "URI Too Long";
+            case 415:
+                return "Unsupported Media Type";
+            case 429:
+                return "Too Many Requests";
+            case 431:
+                return "Request Header Fields Too Large";
+            case 500:
+                return "Internal Server Error";
+            case 501:
+                return "Not Implemented";
+            case 503:
+                return "Service Unavailable";
+            case 505:
+                return "HTTP Version Not Supported";
+            default:
+                return "Status";
+        }
+    }
+}
--- a/src/main/java/honeygap/net/clients/Client.java
+++ b/src/main/java/honeygap/net/clients/Client.java
@@ -1,8 +1,6 @@
 package honeygap.net.clients;
 
-import honeygap.net.Gathered;
-import honeygap.net.Loop;
-import honeygap.net.Peer;
+import honeygap.net.guests.Guest;
 import honeygap.net.pg.Frames;
 import honeygap.net.pg.Query;
 import honeygap.net.pg.Statement;
@@ -12,163 +10,74 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Locale;
-import org.apache.mina.core.session.IoSession;
 
-/** A client's connection: its RPCs one after another, each answered whole before the next is read. */
-final class Client implements Peer, Query.Asker {
+/** A client that speaks PostgreSQL's wire protocol. */
+final class Client extends Guest implements Query.Asker {
 
     /** A value of 64 KiB as hexadecimal digits, and the statement round it. */
     private static final int LONGEST = 2 * 65536 + 4096;
     private static final int LONGEST_STARTUP = 10_000;
     /** Whole messages that may wait behind an open RPC: clients ask one by one and open more when busy. */
     private static final int MOST_WAITING = 64;
-    /** A client that can't be served is owed a word or a close by then after it came, or was answered. */
-    private static final long OWED = 30_000;
-    /** The same where it has asked before, or has much to send. */
-    private static final long OWED_LATER = 2 * OWED;
-    private static final long GRACE = OWED / 20;
-
-    /** What a connection waits for. */
-    private enum Stage { NEW, START, REST, HALF, ANSWER, UNREAD }
 
     private final Clients all;
     private final Frames frames = new Frames(LONGEST);
-    private IoSession session;
     private boolean started;
-    /** An answer of the agent's own, or of an RPC, is not yet handed over. */
-    private boolean writing;
-    private boolean ending;
-    private boolean gone;
     private Query call;
-    private Stage stage = Stage.NEW;
-    private long cameAt;
-    private long waitsSince;
-    /** Kept by the one that closes clients idle for long. */
-    long idleSince;
-    private boolean hasAsked;
-    /** Ends a stage that lasts for too long. */
-    private Loop.Timer timer;
 
     Client(Clients all) {
+        super(all.guests);
         this.all = all;
     }
 
     @Override
-    public void opened(IoSession session) {
-        this.session = session;
-        cameAt = all.loop.now();
-        stage();
-        all.came(this);
+    protected boolean isStarted() {
+        return started;
     }
 
     @Override
-    public void unreachable() {
-        gone = true;
+    protected boolean isAsking() {
+        return call != null;
     }
 
     @Override
-    public void received(ByteBuffer bytes) {
-        if (ending) {
-            return;
-        }
-        frames.feed(bytes);
-        advance();
-        if (!ending && started && frames.waitsMoreThan(MOST_WAITING)) {
-            turnDown("too many commands at once");
-        }
-        // Behind an open RPC no more is kept than one statement; what is half read is never that long.
-        if (frames.waiting() > LONGEST && !ending) {
-            session.suspendRead();
-        }
+    protected int waiting() {
+        return frames.waiting();
     }
 
     @Override
-    public void written() {
-        if (writing) {
-            writing = false;
-            if (session.isReadSuspended()) {
-                session.resumeRead();
-            }
-            advance();
-        }
+    protected int longest() {
+        return LONGEST;
     }
 
     @Override
-    public void closed() {
-        gone = true;
-        stage();
-        all.went(this);
-        leave();
-    }
-
-    /** Nobody waits for the open RPC any more. */
-    private void leave() {
-        if (call != null) {
-            Query left = call;
-            drop();
-            all.left(left);
-        }
+    protected ByteBuffer tooLongWord() {
+        return Words.fatal(Words.PROTOCOL, "nothing whole has come in time");
     }
 
-    /**
-     * One timer for whatever is waited for from this client: its start, the rest of a message, the reading of
-     * an answer. Guards against connections that say nothing, or half of something, and keep a place.
-     */
-    private void stage() {
-        Stage next = gone ? Stage.REST : writing || ending ? Stage.UNREAD : !started ? Stage.START
-                : call != null ? Stage.ANSWER : frames.waiting() > 0 ? Stage.HALF : Stage.REST;
-        if (next == stage) {
-            return;
-        }
-        stage = next;
-        waitsSince = all.loop.now();
-        if (timer != null) {
-            timer.callOff();
-            timer = null;
-        }
-        if (next != Stage.REST && next != Stage.ANSWER) {
-            // An agent that stood still itself first reads what has come meanwhile.
-            long from = next == Stage.UNREAD || hasAsked ? all.loop.now() : cameAt;
-            timer = all.loop.at(from + (next == Stage.HALF && hasAsked ? OWED_LATER : OWED - 2 * GRACE),
-                    () -> timer = all.loop.at(all.loop.now() + GRACE, this::tooLong));
-        }
-        all.waitsFor(this, next == Stage.START || next == Stage.HALF);
+    @Override
+    protected ByteBuffer tooManyWord() {
+        return Words.fatal(Words.TOO_MANY, "too many connections");
     }
 
-    private void tooLong() {
-        all.tooLong();
-        drop(Words.fatal(Words.PROTOCOL, "nothing whole has come in time"));
+    @Override
+    protected void keep(ByteBuffer bytes) {
+        frames.feed(bytes);
     }
 
-    /** Closes at once, with a last word where none is on its way. */
-    void drop(ByteBuffer last) {
-        if (stage == Stage.UNREAD) {
-            session.closeNow();
-        } else {
-            end(last);
+    @Override
+    protected void leave() {
+        if (call != null) {
+            Query left = call;
+            drop();
+            all.left(left);
         }
     }
 
-    /** What is waited for could have been read by now. */
-    boolean isLate() {
-        return waitsSince + GRACE < all.loop.now();
-    }
-
-    /** Nothing taken is open here, and nothing half read. */
-    boolean isIdle() {
-        return started && call == null && !writing && !ending && frames.waiting() == 0;
-    }
-
-    void close() {
-        ending = true;
-        session.closeOnFlush();
-        stage();
-    }
-
-    private void advance() {
+    @Override
+    protected void read() {
         try {
-            while (call == null && !writing && !ending
-                    && (started ? frames.next() : frames.nextUntyped(LONGEST_STARTUP))) {
+            while (canRead() && (started ? frames.next() : frames.nextUntyped(LONGEST_STARTUP))) {
                 if (started) {
                     message();
                 } else {
@@ -178,8 +87,9 @@
         } catch (Malformed e) {
             turnDown(e.getMessage());
         }
-        stage();
-        all.idle(this, isIdle());
+        if (!isEnding() && started && frames.waitsMoreThan(MOST_WAITING)) {
+            turnDown("too many commands at once");
+        }
     }
 
     private void startup(ByteBuffer body) throws Malformed {
@@ -193,15 +103,14 @@
                 break;
             case Words.VERSION:
                 started = true;
-                if (all.isFull()) {
-                    end(Words.fatal(Words.TOO_MANY, "too many connections"));
+                if (all.guests.isFull()) {
+                    end(tooManyWord());
                 } else {
                     write(Words.welcome());
                 }
                 break;
             case Words.CANCEL:
-                ending = true;
-                session.closeNow();
+                closeNow();
                 break;
             default:
                 throw new Malformed("an unknown protocol version");
@@ -214,8 +123,7 @@
                 query(frames.body());
                 break;
             case 'X':
-                ending = true;
-                session.closeNow();
+                closeNow();
                 break;
             default:
                 throw new Malformed("only simple queries are taken");
@@ -223,7 +131,7 @@
     }
 
     private void query(ByteBuffer body) throws Malformed {
-        hasAsked = true;
+        hasAsked();
         if (!body.hasRemaining() || body.get(body.limit() - 1) != 0) {
             throw new Malformed("a query without an end");
         }
@@ -272,7 +180,7 @@
     private void finish(ByteBuffer... parts) {
         drop();
         write(parts);
-        if (all.isLeaving()) {
+        if (all.guests.isLeaving()) {
             close();
         }
     }
@@ -285,22 +193,10 @@
         call = null;
     }
 
-    private void write(ByteBuffer... parts) {
-        if (!gone) {
-            writing = true;
-            session.write(new Gathered(parts));
-        }
-    }
-
     /** What follows can't be read: the last word is also the answer to an RPC that is open here. */
     private void turnDown(String why) {
         all.malformed();
         leave();
         end(Words.fatal(Words.PROTOCOL, why));
     }
-
-    private void end(ByteBuffer last) {
-        write(last);
-        close();
-    }
 }
--- a/src/main/java/honeygap/net/clients/Clients.java
+++ b/src/main/java/honeygap/net/clients/Clients.java
@@ -3,19 +3,18 @@
 import honeygap.Rules;
 import honeygap.fleet.Method;
 import honeygap.fleet.Tenant;
+import honeygap.net.Counters;
 import honeygap.net.Front;
 import honeygap.net.Loop;
 import honeygap.net.Peer;
+import honeygap.net.guests.Guests;
 import honeygap.net.pg.Query;
 import honeygap.net.pg.Statement;
 import honeygap.net.pg.Words;
 import honeygap.read.Fields;
 import honeygap.read.Malformed;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.Map;
-import java.util.Set;
 
 /** All clients of this agent, and the RPCs taken from them. */
 public final class Clients implements Front {
@@ -29,24 +28,12 @@
     private final Map<String, Tenant> tenants = new HashMap<>();
     private final Tenant unnamed = new Tenant();
     private final long tick;
-    private final int most;
-    private final int crowd;
     private final int mostOpen;
-    private final Set<Client> here = new LinkedHashSet<>();
-    /** Longest idle first. */
-    private final Set<Client> idle = new LinkedHashSet<>();
-    /** Those whose start, or the rest of whose message, is waited for; longest so first. */
-    private final Set<Client> waitedFor = new LinkedHashSet<>();
-    private Loop.Timer sweep;
+    final Guests guests;
     private final Map<String, Query> open = new HashMap<>();
-    private boolean leaving;
     private long malformed;
     private long unknown;
     private long twice;
-    private long tooLong;
-    private long madeRoom;
-    private long crowded;
-    private long full;
     private long pushedBack;
     private long rescued;
     final Statement statement = new Statement();
@@ -57,8 +44,7 @@
         this.loop = loop;
         this.rules = rules;
         this.methods = methods;
-        this.most = most;
-        this.crowd = crowd;
+        guests = new Guests(loop, most, crowd, KEPT);
         tick = Math.max(1, info.tenths("TickNs"));
         mostOpen = info.part("Ceilings").index("MaxOpen", Integer.MAX_VALUE);
         if (info.has("Accounts")) {
@@ -73,87 +59,6 @@
         return new Client(this);
     }
 
-    /**
-     * At the limit whoever has been waited for longest makes room, or else has been idle longest. Guards
-     * against turning down those that came in the same moment and have not been read: they ask at once again.
-     */
-    void came(Client client) {
-        here.add(client);
-        waitedFor.add(client);
-        if (here.size() <= most) {
-            return;
-        }
-        Client longest = waitedFor.iterator().next();
-        if (!longest.isLate() && !idle.isEmpty()) {
-            longest = idle.iterator().next();
-        }
-        if (longest != client) {
-            madeRoom++;
-            went(longest);
-            if (longest.isIdle()) {
-                longest.close();
-            } else {
-                longest.drop(Words.fatal(Words.TOO_MANY, "too many connections"));
-            }
-        }
-    }
-
-    void went(Client client) {
-        here.remove(client);
-        idle.remove(client);
-        waitedFor.remove(client);
-    }
-
-    void waitsFor(Client client, boolean waits) {
-        if (waits && here.contains(client)) {
-            waitedFor.add(client);
-        } else {
-            waitedFor.remove(client);
-        }
-    }
-
-    boolean isFull() {
-        full += here.size() > most ? 1 : 0;
-        return here.size() > most;
-    }
-
-    void idle(Client client, boolean isIdle) {
-        if (!isIdle || !here.contains(client)) {
-            idle.remove(client);
-        } else if (leaving) {
-            client.close();
-        } else if (idle.add(client)) {
-            client.idleSince = loop.now();
-            if (sweep == null) {
-                sweep = loop.at(loop.now() + KEPT, this::closeIdle);
-            }
-            if (here.size() > crowd) {
-                // Guards against clients that ask once a connection: they may open no more until some go.
-                Client longest = idle.iterator().next();
-                crowded++;
-                went(longest);
-                longest.close();
-            }
-        }
-    }
-
-    /**
-     * Guards against clients that ask once and stay: their connections would leave no place for others. Those
-     * that ask again within the time are never among them.
-     */
-    private void closeIdle() {
-        sweep = null;
-        while (!idle.isEmpty()) {
-            Client longest = idle.iterator().next();
-            if (longest.idleSince + KEPT > loop.now()) {
-                sweep = loop.at(longest.idleSince + KEPT, this::closeIdle);
-                return;
-            }
-            idle.remove(longest);
-            longest.close();
-        }
-    }
-
     /**
      * The RPC that the statement just read asks for; null where its method is not known, or its id is that of
      * an RPC that is open: who gave it out twice can't have two answers.
@@ -217,33 +122,24 @@
         pushedBack++;
     }
 
-    void tooLong() {
-        tooLong++;
-    }
-
-    boolean isLeaving() {
-        return leaving;
-    }
-
     @Override
     public void leave() {
-        leaving = true;
-        for (Client client : new ArrayList<>(idle)) {
-            client.close();
-        }
-        idle.clear();
+        guests.leave();
     }
 
     @Override
     public int count() {
-        return here.size();
+        return guests.count();
     }
 
     @Override
-    public String toString() {
-        return String.format("clients %d, idle %d, open RPCs %d, malformed %d, unknown %d, open ids %d,"
-                + " too long %d, made room %d, crowded %d, full %d, pushed back %d, rescued %d",
-                here.size(), idle.size(), open.size(), malformed,
-                unknown, twice, tooLong, madeRoom, crowded, full, pushedBack, rescued);
+    public void report(Counters counters) {
+        guests.report(counters);
+        counters.count("open RPCs", open.size());
+        counters.count("malformed", malformed);
+        counters.count("unknown", unknown);
+        counters.count("open ids", twice);
+        counters.count("pushed back", pushedBack);
+        counters.count("rescued", rescued);
     }
 }
--- a/src/main/java/honeygap/net/desk/Ballots.java
+++ b/src/main/java/honeygap/net/desk/Ballots.java
@@ -4,6 +4,7 @@
 import honeygap.fleet.Build;
 import honeygap.fleet.Pick;
 import honeygap.net.Core;
+import honeygap.net.Counters;
 import honeygap.net.Loop;
 import honeygap.net.http.Answers;
 import honeygap.net.http.Connection;
@@ -13,7 +14,7 @@
 import java.nio.charset.StandardCharsets;
 
 /** Casts votes at the desk, one at a time, and hears how each was taken. */
-public final class Ballots implements Core.Poll {
+public final class Ballots implements Core.Poll, Counters.Group {
 
     private static final String[] VERDICTS = {"none", "on", "hold", "back"};
     private static final int LONGEST = 65536;
@@ -129,7 +130,8 @@
     }
 
     @Override
-    public String toString() {
-        return String.format("votes %d, without an answer %d", cast, unanswered);
+    public void report(Counters counters) {
+        counters.count("votes", cast);
+        counters.count("unanswered", unanswered);
     }
 }
--- a/src/main/java/honeygap/net/desk/Bulletin.java
+++ b/src/main/java/honeygap/net/desk/Bulletin.java
@@ -1,5 +1,6 @@
 package honeygap.net.desk;
 
+import honeygap.net.Counters;
 import honeygap.net.Loop;
 import honeygap.net.http.Stream;
 import honeygap.read.Malformed;
@@ -9,7 +10,7 @@
 import java.util.zip.CRC32;
 
 /** Listens to what the desk tells without being asked; comes back by itself whenever that ends. */
-public final class Bulletin {
+public final class Bulletin implements Counters.Group {
 
     private final Loop loop;
     private final News desk;
@@ -96,7 +97,8 @@
     }
 
     @Override
-    public String toString() {
-        return String.format("bulletins ended %d, unreadable %d", failures, unreadable);
+    public void report(Counters counters) {
+        counters.count("ended", failures);
+        counters.count("unreadable", unreadable);
     }
 }
--- /dev/null
+++ b/src/main/java/honeygap/net/guests/Guest.java
@@ -0,0 +1,207 @@
+package honeygap.net.guests;
+
+import honeygap.net.Gathered;
+import honeygap.net.Loop;
+import honeygap.net.Peer;
+import java.nio.ByteBuffer;
+import org.apache.mina.core.session.IoSession;
+
+/**
+ * A client's connection, whatever it speaks: its stages and their timer, its place among the others, what is
+ * written to it. RPCs come one after another, each answered whole before the next is read.
+ */
+public abstract class Guest implements Peer {
+
+    /** A client that can't be served is owed a word or a close by then after it came, or was answered. */
+    private static final long OWED = 30_000;
+    /** The same where it has asked before, or has much to send. */
+    private static final long OWED_LATER = 2 * OWED;
+    private static final long GRACE = OWED / 20;
+
+    /** What a connection waits for. */
+    private enum Stage { NEW, START, REST, HALF, ANSWER, UNREAD }
+
+    private final Guests guests;
+    private final Loop loop;
+    private IoSession session;
+    /** An answer of the agent's own, or of an RPC, is not yet handed over. */
+    private boolean writing;
+    private boolean ending;
+    private boolean gone;
+    private Stage stage = Stage.NEW;
+    private long cameAt;
+    private long waitsSince;
+    /** Kept by the one that closes clients idle for long. */
+    long idleSince;
+    private boolean hasAsked;
+    /** Ends a stage that lasts for too long. */
+    private Loop.Timer timer;
+
+    protected Guest(Guests guests) {
+        this.guests = guests;
+        loop = guests.loop;
+    }
+
+    /** Whether it has said what a connection begins with. */
+    protected abstract boolean isStarted();
+
+    /** Whether an RPC of it is open. */
+    protected abstract boolean isAsking();
+
+    /** How many bytes are kept that wait to be read, or are half of a message. */
+    protected abstract int waiting();
+
+    /** Keeps what came in. */
+    protected abstract void keep(ByteBuffer bytes);
+
+    /** Reads what it can, as long as {@link #canRead}. */
+    protected abstract void read();
+
+    /** Nobody waits for the open RPC any more. */
+    protected abstract void leave();
+
+    /** The last word to a client of which nothing whole has come in time. */
+    protected abstract ByteBuffer tooLongWord();
+
+    /** The last word to a client that must make room. */
+    protected abstract ByteBuffer tooManyWord();
+
+    /** How many bytes may wait behind an open RPC. */
+    protected abstract int longest();
+
+    protected final boolean canRead() {
+        return !isAsking() && !writing && !ending;
+    }
+
+    protected final boolean isEnding() {
+        return ending;
+    }
+
+    /** From now on it has longer for the rest of a message. */
+    protected final void hasAsked() {
+        hasAsked = true;
+    }
+
+    @Override
+    public final void opened(IoSession session) {
+        this.session = session;
+        cameAt = loop.now();
+        stage();
+        guests.came(this);
+    }
+
+    @Override
+    public final void unreachable() {
+        gone = true;
+    }
+
+    @Override
+    public final void received(ByteBuffer bytes) {
+        if (ending) {
+            return;
+        }
+        keep(bytes);
+        advance();
+        // Behind an open RPC no more is kept than one message; what is half read is never that long.
+        if (waiting() > longest() && !ending) {
+            session.suspendRead();
+        }
+    }
+
+    @Override
+    public final void written() {
+        if (writing) {
+            writing = false;
+            if (session.isReadSuspended()) {
+                session.resumeRead();
+            }
+            advance();
+        }
+    }
+
+    @Override
+    public final void closed() {
+        gone = true;
+        stage();
+        guests.went(this);
+        leave();
+    }
+
+    protected final void advance() {
+        read();
+        stage();
+        guests.idle(this, isIdle());
+    }
+
+    /**
+     * One timer for whatever is waited for from this client: its start, the rest of a message, the reading of
+     * an answer. Guards against connections that say nothing, or half of something, and keep a place.
+     */
+    private void stage() {
+        Stage next = gone ? Stage.REST : writing || ending ? Stage.UNREAD : !isStarted() ? Stage.START
+                : isAsking() ? Stage.ANSWER : waiting() > 0 ? Stage.HALF : Stage.REST;
+        if (next == stage) {
+            return;
+        }
+        stage = next;
+        waitsSince = loop.now();
+        if (timer != null) {
+            timer.callOff();
+            timer = null;
+        }
+        if (next != Stage.REST && next != Stage.ANSWER) {
+            // An agent that stood still itself first reads what has come meanwhile.
+            long from = next == Stage.UNREAD || hasAsked ? loop.now() : cameAt;
+            timer = loop.at(from + (next == Stage.HALF && hasAsked ? OWED_LATER : OWED - 2 * GRACE),
+                    () -> timer = loop.at(loop.now() + GRACE, this::tooLong));
+        }
+        guests.waitsFor(this, next == Stage.START || next == Stage.HALF);
+    }
+
+    private void tooLong() {
+        guests.tooLong();
+        drop(tooLongWord());
+    }
+
+    /** Closes at once, with a last word where none is on its way. */
+    final void drop(ByteBuffer last) {
+        if (stage == Stage.UNREAD) {
+            session.closeNow();
+        } else {
+            end(last);
+        }
+    }
+
+    /** What is waited for could have been read by now. */
+    final boolean isLate() {
+        return waitsSince + GRACE < loop.now();
+    }
+
+    /** Nothing taken is open here, and nothing half read. */
+    final boolean isIdle() {
+        return isStarted() && !isAsking() && !writing && !ending && waiting() == 0;
+    }
+
+    protected final void close() {
+        ending = true;
+        session.closeOnFlush();
+        stage();
+    }
+
+    protected final void closeNow() {
+        ending = true;
+        session.closeNow();
+    }
+
+    protected final void write(ByteBuffer... parts) {
+        if (!gone) {
+            writing = true;
+            session.write(new Gathered(parts));
+        }
+    }
+
+    protected final void end(ByteBuffer last) {
+        write(last);
+        close();
+    }
+}
--- a/src/main/java/honeygap/net/http/Answers.java
+++ b/src/main/java/honeygap/net/http/Answers.java
@@ -14,6 +14,10 @@
 
         void head(int status);
 
+        /** A field of the head, before it; the name in small letters. */
+        default void field(String name, String value) throws Malformed {
+        }
+
         void data(ByteBuffer bytes) throws Malformed;
 
         void end() throws Malformed;
@@ -93,6 +97,7 @@
                 left = 0;
                 lines = 0;
                 state = HEAD;
+                reader.field("", words.substring(0, 8));
                 break;
             case HEAD:
                 head(words);
@@ -123,19 +128,29 @@
             String name = words.substring(0, Math.max(0, colon)).toLowerCase(Locale.ROOT);
             String value = words.substring(colon + 1).strip();
             if (name.equals("content-length")) {
-                left = number(value, 10);
+                long length = number(value, 10);
+                if (lengthSeen && length != left) {
+                    throw new Malformed("two lengths");
+                }
+                left = length;
                 lengthSeen = true;
             } else if (name.equals("transfer-encoding")) {
                 chunked = value.equalsIgnoreCase("chunked");
             }
+            reader.field(name, value);
             return;
         }
         if (status / 100 == 1) {
             state = STATUS;
             return;
         }
+        if (chunked && lengthSeen) {
+            throw new Malformed("both a length and chunks");
+        }
         reader.head(status);
-        if (chunked) {
+        if (status == 204 || status == 304) {
+            done();
+        } else if (chunked) {
             state = CHUNK_SIZE;
         } else if (lengthSeen) {
             state = BODY;
@@ -147,6 +162,16 @@
         }
     }
 
+    /** Whether nothing is half read. */
+    public boolean isBetween() {
+        return state == STATUS && line.size() == 0;
+    }
+
+    /** Whether only the end of the connection will end the answer, so that a cut one looks whole. */
+    public boolean isOpenEnded() {
+        return state == UNTIL_CLOSE;
+    }
+
     private void done() throws Malformed {
         state = STATUS;
         reader.end();
--- a/src/main/java/honeygap/net/links/Links.java
+++ b/src/main/java/honeygap/net/links/Links.java
@@ -5,6 +5,7 @@
 import honeygap.fleet.Pick;
 import honeygap.net.Back;
 import honeygap.net.Call;
+import honeygap.net.Counters;
 import honeygap.net.Loop;
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -154,16 +155,24 @@
         loop.gather(() -> rules.ended(call, index, outcome, closed, lag));
     }
 
-    void unreadable() {
+    /** An answer could not be read; counted. */
+    public void unreadable() {
         unreadable++;
     }
 
     @Override
-    public String toString() {
-        return String.format("links %d, opened %d, ok %d, error %d, full %d, timeout %d, no connection %d,"
-                + " reset %d, cancelled %d, moot %d, unreadable %d, unquiet %d", links.size(), opened,
-                outcomes[Pick.OK], outcomes[Pick.ERROR], outcomes[Pick.FULL], outcomes[Pick.TIMEOUT],
-                outcomes[Pick.CONNECT_FAILED], outcomes[Pick.RESET], outcomes[Pick.CANCELLED],
-                outcomes[Pick.MOOT], unreadable, unquiet);
+    public void report(Counters counters) {
+        counters.count("here", links.size());
+        counters.count("opened", opened);
+        counters.count("ok", outcomes[Pick.OK]);
+        counters.count("error", outcomes[Pick.ERROR]);
+        counters.count("full", outcomes[Pick.FULL]);
+        counters.count("timeout", outcomes[Pick.TIMEOUT]);
+        counters.count("no connection", outcomes[Pick.CONNECT_FAILED]);
+        counters.count("reset", outcomes[Pick.RESET]);
+        counters.count("cancelled", outcomes[Pick.CANCELLED]);
+        counters.count("moot", outcomes[Pick.MOOT]);
+        counters.count("unreadable", unreadable);
+        counters.count("unquiet", unquiet);
     }
 }
--- /dev/null
+++ b/src/main/java/honeygap/net/list/Named.java
@@ -0,0 +1,103 @@
+package honeygap.net.list;
+
+import honeygap.Rules;
+import honeygap.fleet.Appliance;
+import honeygap.fleet.Build;
+import honeygap.fleet.Location;
+import honeygap.net.Back;
+import honeygap.net.Core;
+import honeygap.net.Counters;
+import honeygap.net.links.Remote;
+import honeygap.read.FlagSheet;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.IntFunction;
+import java.util.function.IntPredicate;
+
+/** Servers that the operator's own file names, as the list of a module. */
+public final class Named implements Core.Directory, Counters.Group {
+
+    private final Rules rules;
+    private final Back back;
+    private final IntFunction<Build> builds;
+    private final Map<String, Remote> remotes = new HashMap<>();
+    private final Map<String, Location> locations = new HashMap<>();
+    private List<FlagSheet.Named> servers = List.of();
+    private IntPredicate admitted = build -> true;
+    private long named;
+    private boolean isFirst = true;
+
+    public Named(Rules rules, Back back, IntFunction<Build> builds) {
+        this.rules = rules;
+        this.back = back;
+        this.builds = builds;
+    }
+
+    /** These servers from now on; the builds that there are. */
+    public Set<Integer> take(List<FlagSheet.Named> servers) {
+        this.servers = List.copyOf(servers);
+        Set<Integer> all = new TreeSet<>();
+        servers.forEach(server -> all.add(server.build()));
+        return all;
+    }
+
+    /**
+     * Tells the module of the servers of these builds. One that comes later than the first list, or with
+     * another build or address than before, counts as started now.
+     */
+    public void tell(IntPredicate admitted, long now) {
+        this.admitted = admitted;
+        List<Remote> told = new ArrayList<>();
+        rules.listBegins(true, false);
+        for (FlagSheet.Named server : servers) {
+            if (!admitted.test(server.build())) {
+                continue;
+            }
+            Remote remote = remotes.get(server.name());
+            Build build = builds.apply(server.build());
+            boolean isNew = remote == null;
+            if (isNew) {
+                remote = (Remote) back.appliance(named++);
+                remote.startedAt = isFirst ? Rules.LONG_AGO : now;
+                remotes.put(server.name(), remote);
+            } else if (remote.build != build || !server.address().equals(remote.address)) {
+                back.dropIdle(remote);
+                remote.startedAt = now;
+            }
+            remote.address = server.address();
+            rules.listed(remote, build, locations.computeIfAbsent(server.location(), name -> new Location()), 0,
+                    server.state(), remote.startedAt);
+            told.add(remote);
+        }
+        rules.listEnds();
+        isFirst &= told.isEmpty();
+        remotes.values().forEach(remote -> {
+            if (!told.contains(remote) || remote.state != Appliance.UP) {
+                back.dropIdle(remote);
+            }
+        });
+        remotes.values().removeIf(remote -> !told.contains(remote));
+        locations.keySet().removeIf(name -> servers.stream().noneMatch(one -> one.location().equals(name)));
+    }
+
+    /** Nothing is asked: what the file names is known. */
+    @Override
+    public void watch() {
+        tell(admitted, 0);
+    }
+
+    @Override
+    public void fetch() {
+        tell(admitted, 0);
+    }
+
+    @Override
+    public void report(Counters counters) {
+        counters.count("servers", remotes.size());
+        counters.count("draining", remotes.values().stream().filter(one -> one.state != Appliance.UP).count());
+    }
+}
--- a/src/main/java/honeygap/net/list/Registry.java
+++ b/src/main/java/honeygap/net/list/Registry.java
@@ -8,6 +8,7 @@
 import honeygap.fleet.Location;
 import honeygap.net.Back;
 import honeygap.net.Core;
+import honeygap.net.Counters;
 import honeygap.net.Loop;
 import honeygap.net.http.Lines;
 import honeygap.net.http.Stream;
@@ -23,7 +24,7 @@
 import java.util.function.IntFunction;
 
 /** The list of appliances: the watch on it, the whole of it on demand, and the one it started from. */
-public final class Registry implements Core.Directory {
+public final class Registry implements Core.Directory, Counters.Group {
 
     /** As long as nothing changes, the list says so this often. */
     private static final long BEAT = 20_000;
@@ -194,7 +195,9 @@
     }
 
     @Override
-    public String toString() {
-        return String.format("list %d, appliances %d, failures %d", version, remotes.size(), failures);
+    public void report(Counters counters) {
+        counters.count("version", version);
+        counters.count("appliances", remotes.size());
+        counters.count("failures", failures);
     }
 }
--- /dev/null
+++ b/src/main/java/honeygap/net/ofrep/Request.java
@@ -0,0 +1,43 @@
+package honeygap.net.ofrep;
+
+import honeygap.flags.Question;
+import honeygap.fleet.Method;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/** A question as it goes to servers: its identity is the request itself, but for the server's name. */
+public final class Request extends Question {
+
+    private static final byte[] END = "\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+
+    private final int headLength;
+
+    private Request(Method method, String flag, long subject, byte[] whole, int headLength, boolean shareable) {
+        super(method, flag, subject, whole, hash(whole), shareable);
+        this.headLength = headLength;
+    }
+
+    /** The fields are those that servers are to have, each with its end. */
+    public static Request of(Method method, String flag, long subject, String path, String fields, byte[] body,
+                             boolean shareable) {
+        byte[] head = ("POST " + path + " HTTP/1.1\r\n" + fields + "Content-Type: application/json\r\n"
+                + "Accept: application/json\r\nContent-Length: " + body.length + "\r\nHost: ")
+                .getBytes(StandardCharsets.ISO_8859_1);
+        byte[] whole = java.util.Arrays.copyOf(head, head.length + body.length);
+        System.arraycopy(body, 0, whole, head.length, body.length);
+        return new Request(method, flag, subject, whole, head.length, shareable);
+    }
+
+    /** A 64-bit hash of bytes, never 0. */
+    public static long hash(byte[] bytes) {
+        long hash = MurmurHash3.hash128x64(bytes, 0, bytes.length, 0)[0];
+        return hash == 0 ? 1 : hash;
+    }
+
+    /** The request for a server of this name, in slices. */
+    public ByteBuffer[] parts(byte[] host) {
+        return new ByteBuffer[] {ByteBuffer.wrap(identity, 0, headLength), ByteBuffer.wrap(host),
+            ByteBuffer.wrap(END), ByteBuffer.wrap(identity, headLength, identity.length - headLength).slice()};
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/net/servers/Server.java
@@ -0,0 +1,176 @@
+package honeygap.net.servers;
+
+import honeygap.flags.Served;
+import honeygap.fleet.Pick;
+import honeygap.net.Gathered;
+import honeygap.net.http.Answers;
+import honeygap.net.links.Link;
+import honeygap.net.links.Links;
+import honeygap.net.links.Remote;
+import honeygap.net.ofrep.Ask;
+import honeygap.read.Malformed;
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZonedDateTime;
+import java.time.format.DateTimeFormatter;
+import java.time.format.DateTimeParseException;
+import java.util.Locale;
+
+/**
+ * A connection to a flag server, which speaks the remote evaluation protocol over HTTP/1.1. Only whole answers
+ * count: one whose end is the connection's end can't be told from half of one.
+ */
+public final class Server extends Link implements Answers.Reader {
+
+    /** What outlasts this many seconds is taken for it; the decision on limits has a bound of its own. */
+    private static final long LONGEST_AWAY = 86_400;
+
+    private final int longest;
+    private final Answers answers = new Answers(this);
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream(512);
+    private byte[] host;
+    private int status;
+    private boolean isLast;
+    private String awayUntil;
+    private boolean whole;
+
+    /** Answers longer than so many bytes are turned down. */
+    public Server(Links all, Remote remote, int longest) {
+        super(all, remote);
+        this.longest = longest;
+    }
+
+    @Override
+    protected void begin() {
+        idle();
+    }
+
+    @Override
+    protected void sendProbe() {
+        // Nothing of the protocol asks whether a server is well: connecting is all.
+        idle();
+    }
+
+    @Override
+    protected void send() {
+        if (host == null) {
+            String figures = remote.address.getAddress().getHostAddress();
+            host = ((figures.indexOf(':') < 0 ? figures : "[" + figures + "]") + ":" + remote.address.getPort())
+                    .getBytes(StandardCharsets.US_ASCII);
+        }
+        body.reset();
+        isLast = false;
+        awayUntil = null;
+        session.write(new Gathered(((Ask) call).request().parts(host)));
+    }
+
+    @Override
+    protected void read(ByteBuffer bytes) throws Malformed {
+        if (call == null || !handedOver) {
+            throw new Malformed("an answer that nobody waits for");
+        }
+        whole = false;
+        answers.feed(bytes);
+        if (whole && bytes.hasRemaining()) {
+            throw new Malformed("more than one answer");
+        }
+        if (!over && answers.isOpenEnded()) {
+            throw new Malformed("an answer without a length");
+        }
+    }
+
+    @Override
+    protected boolean isHalfRead() {
+        return !answers.isBetween();
+    }
+
+    @Override
+    public void field(String name, String value) throws Malformed {
+        switch (name) {
+            case "content-length":
+                // What can't be kept is not waited for.
+                if (value.length() > 18 || !value.matches("[0-9]+") || Long.parseLong(value) > longest) {
+                    throw new Malformed("an answer too long");
+                }
+                break;
+            case "":
+                isLast = value.equals("HTTP/1.0");
+                break;
+            case "connection":
+                isLast |= value.toLowerCase(Locale.ROOT).contains("close");
+                break;
+            case "retry-after":
+                awayUntil = value;
+                break;
+            default:
+                break;
+        }
+    }
+
+    @Override
+    public void head(int status) {
+        this.status = status;
+    }
+
+    @Override
+    public void data(ByteBuffer bytes) throws Malformed {
+        if (body.size() + bytes.remaining() > longest) {
+            throw new Malformed("an answer too long");
+        }
+        while (bytes.hasRemaining()) {
+            body.write(bytes.get());
+        }
+    }
+
+    @Override
+    public void end() throws Malformed {
+        if (call == null || whole) {
+            throw new Malformed("an answer that nobody waits for");
+        }
+        whole = true;
+        Ask ask = (Ask) call;
+        if (awayUntil != null && (status == 429 || status == 503)) {
+            ask.stayAway(remote, tenths(awayUntil));
+        }
+        boolean last = isLast;
+        finish(outcome(ask));
+        if (last) {
+            end(Pick.CANCELLED);
+        } else {
+            idle();
+        }
+    }
+
+    /** What a server pushes back, surely unheard, is 429; all else that is no answer may have run. */
+    private int outcome(Ask ask) {
+        boolean isTracking = !ask.request().shareable;
+        boolean isAnswer = status / 100 == 2 && (isTracking || status == 200)
+                || status == 400 || status == 401 || status == 403 || status == 404 && ask.request().flag != null;
+        if (!isAnswer) {
+            return status == 429 ? Pick.FULL : Pick.ERROR;
+        }
+        try {
+            return ask.served(remote, status, body.toByteArray());
+        } catch (Malformed e) {
+            all.unreadable();
+            return Pick.ERROR;
+        }
+    }
+
+    /** Seconds or a date, in tenths of a millisecond from now; what is neither is no wait. */
+    private static long tenths(String words) {
+        try {
+            if (words.matches("[0-9]{1,9}")) {
+                return Math.min(LONGEST_AWAY, Long.parseLong(words)) * 10_000;
+            }
+            ZonedDateTime date = ZonedDateTime.parse(words, DateTimeFormatter.RFC_1123_DATE_TIME);
+            Duration left = Duration.between(Instant.now(), date.toInstant());
+            return Math.max(0, Math.min(LONGEST_AWAY, left.getSeconds()) * 10_000);
+        } catch (DateTimeParseException e) {
+            return 0;
+        }
+    }
+}
--- a/src/main/java/honeygap/read/Fields.java
+++ b/src/main/java/honeygap/read/Fields.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** The fields of one JSON object, by name. Reading a field that is missing or of another type is a fault. */
 public final class Fields {
@@ -64,6 +65,16 @@
         }
     }
 
+    /** The names of all fields, in the order of their coming. */
+    public Set<String> names() {
+        return values.keySet();
+    }
+
+    /** What a field holds: text, a number, true or false, a list, {@code Fields}, or null. */
+    public Object value(String name) {
+        return values.get(name);
+    }
+
     public boolean has(String name) {
         return values.get(name) != null;
     }
--- a/src/main/java/honeygap/read/Malformed.java
+++ b/src/main/java/honeygap/read/Malformed.java
@@ -1,7 +1,7 @@
 package honeygap.read;
 
 /** What came in does not make sense; the message names the fault. */
-public final class Malformed extends Exception {
+public class Malformed extends Exception {
 
     private static final long serialVersionUID = 1L;
 
--- /dev/null
+++ b/src/main/java/honeygap/standin/FlagSet.java
@@ -0,0 +1,124 @@
+package honeygap.standin;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import honeygap.read.Fields;
+import honeygap.read.Malformed;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/**
+ * A numbered set of flags, as a flag server has it: each with variants, rules on the context, and a split by
+ * percent on a hash of flag and targeting key.
+ */
+final class FlagSet {
+
+    /** What a flag comes to for one context: null values are the caller's own default. */
+    record Result(String variant, Object value, String reason) { }
+
+    /** A variant for contexts that hold all of these fields. */
+    private record Rule(Fields when, String variant) { }
+
+    private static final class Flag {
+        Fields variants;
+        String otherwise;
+        final List<Rule> rules = new ArrayList<>();
+        Fields split;
+        boolean isOff;
+    }
+
+    final long version;
+    private final Map<String, Flag> flags = new LinkedHashMap<>();
+
+    FlagSet(Fields told) throws Malformed {
+        version = told.whole("version");
+        Fields all = told.object("flags");
+        for (String name : all.names()) {
+            Fields one = all.object(name);
+            Flag flag = new Flag();
+            flag.variants = one.object("variants");
+            flag.otherwise = one.text("default");
+            flag.isOff = one.flag("off", false);
+            flag.split = one.part("split");
+            if (one.has("rules")) {
+                for (Fields rule : one.objects("rules")) {
+                    flag.rules.add(new Rule(rule.object("when"), rule.text("variant")));
+                }
+            }
+            flags.put(name, flag);
+        }
+    }
+
+    Iterable<String> names() {
+        return flags.keySet();
+    }
+
+    /** Null for a flag that is not in the set. */
+    Result evaluate(String name, Fields context) throws Malformed {
+        Flag flag = flags.get(name);
+        if (flag == null) {
+            return null;
+        }
+        if (flag.isOff) {
+            return result(flag, flag.otherwise, "DISABLED");
+        }
+        for (Rule rule : flag.rules) {
+            if (rule.when.names().stream().allMatch(field -> rule.when.value(field).equals(context.value(field)))) {
+                return result(flag, rule.variant, "TARGETING_MATCH");
+            }
+        }
+        if (!flag.split.names().isEmpty()) {
+            String key = context.text("targetingKey", "");
+            byte[] bytes = (name + '\0' + key).getBytes(StandardCharsets.UTF_8);
+            double at = 100.0 * (MurmurHash3.hash32x86(bytes) >>> 1) / (1L << 31);
+            for (String variant : flag.split.names()) {
+                at -= flag.split.number(variant);
+                if (at < 0) {
+                    return result(flag, variant, "SPLIT");
+                }
+            }
+        }
+        return result(flag, flag.otherwise, flag.rules.isEmpty() && flag.split.names().isEmpty() ? "STATIC"
+                : "DEFAULT");
+    }
+
+    private static Result result(Flag flag, String variant, String reason) {
+        return new Result(variant, flag.variants.value(variant), reason);
+    }
+
+    /** Writes what stands in the protocol's form between the braces of one evaluation. */
+    void write(JsonGenerator out, String name, Result result) throws IOException {
+        out.writeStringField("key", name);
+        out.writeStringField("reason", result.reason);
+        out.writeStringField("variant", result.variant);
+        out.writeFieldName("value");
+        value(out, result.value);
+        out.writeObjectFieldStart("metadata");
+        out.writeStringField("flagSetId", "standin");
+        out.writeStringField("version", String.valueOf(version));
+        out.writeEndObject();
+    }
+
+    private static void value(JsonGenerator out, Object value) throws IOException {
+        if (value instanceof Fields fields) {
+            out.writeStartObject();
+            for (String name : fields.names()) {
+                out.writeFieldName(name);
+                value(out, fields.value(name));
+            }
+            out.writeEndObject();
+        } else if (value instanceof List<?> list) {
+            out.writeStartArray();
+            for (Object one : list) {
+                value(out, one);
+            }
+            out.writeEndArray();
+        } else {
+            out.writeObject(value);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/honeygap/ArchitectureTest.java
@@ -0,0 +1,67 @@
+package honeygap;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.ArchRule;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Dependencies point one way: command line to hosts to decisions to state. */
+class ArchitectureTest {
+
+    private static final JavaClasses ALL = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("honeygap");
+
+    private static final String[] IO = {"java.io..", "java.net..", "java.nio.channels..", "java.nio.file..",
+        "org.apache.mina..", "org.tinylog..", "com.fasterxml..", "picocli..", "honeygap.net..", "honeygap.cli..",
+        "honeygap.read..", "honeygap.wire.."};
+
+    private static ArchRule none(String from, String... to) {
+        return noClasses().that().resideInAPackage(from).should().dependOnClassesThat().resideInAnyPackage(to);
+    }
+
+    @Test
+    void decisionsKnowNoHosts() {
+        noClasses().that().resideInAnyPackage("honeygap", "honeygap.flags..").should().dependOnClassesThat()
+                .resideInAnyPackage(IO).check(ALL);
+        noClasses().that().resideInAPackage("honeygap.fleet..").should().dependOnClassesThat()
+                .resideInAnyPackage("honeygap", "honeygap.flags..", "honeygap.net..", "honeygap.read..").check(ALL);
+    }
+
+    @Test
+    void decisionsReadNoClockAndNoChance() {
+        noClasses().that().resideInAnyPackage("honeygap", "honeygap.flags..").should().callMethod(System.class,
+                "nanoTime").orShould().callMethod(System.class, "currentTimeMillis").orShould()
+                .dependOnClassesThat().haveFullyQualifiedName("java.util.Random").check(ALL);
+    }
+
+    @Test
+    void frontsKnowNoBacks() {
+        for (String front : List.of("honeygap.net.clients..", "honeygap.net.askers..", "honeygap.net.guests..")) {
+            none(front, "honeygap.net.appliances..", "honeygap.net.servers..", "honeygap.net.links..").check(ALL);
+        }
+        for (String back : List.of("honeygap.net.appliances..", "honeygap.net.servers..", "honeygap.net.links..")) {
+            none(back, "honeygap.net.clients..", "honeygap.net.askers..", "honeygap.net.guests..").check(ALL);
+        }
+        none("honeygap.net.clients..", "honeygap.net.askers..").check(ALL);
+        none("honeygap.net.appliances..", "honeygap.net.servers..").check(ALL);
+    }
+
+    @Test
+    void nobodyKnowsTheCommandLine() {
+        noClasses().that().resideOutsideOfPackage("honeygap.cli..").should().dependOnClassesThat()
+                .resideInAPackage("honeygap.cli..").check(ALL);
+        noClasses().that().resideInAnyPackage("honeygap.net..", "honeygap.read..", "honeygap.flags..").should()
+                .dependOnClassesThat().resideInAPackage("honeygap.standin..").check(ALL);
+    }
+
+    /** The agent on the platform has little memory: what loads the template library is named here alone. */
+    @Test
+    void templatesLoadOnlyWhenUsed() {
+        noClasses().that().doNotHaveFullyQualifiedName("honeygap.read.Template").should().dependOnClassesThat()
+                .resideInAnyPackage("sjsonnet..", "scala..", "os..").check(ALL);
+    }
+}
--- a/src/test/java/honeygap/net/AgentTest.java
+++ b/src/test/java/honeygap/net/AgentTest.java
@@ -38,6 +38,7 @@
 
     private final List<AutoCloseable> open = new ArrayList<>();
     private Agent agent;
+    private Queries queries;
 
     @AfterEach
     void close() throws Exception {
@@ -291,7 +292,7 @@
         String id = "9b1f";
 
         Caller() throws IOException {
-            socket = new Socket(agent.address().getAddress(), agent.address().getPort());
+            socket = new Socket(agent.address(0).getAddress(), agent.address(0).getPort());
             socket.setTcpNoDelay(true);
             socket.setSoTimeout(10_000);
             open.add(this);
@@ -389,7 +390,9 @@
                 + "'MaxRetryAfterNs':500000000},'Rules':{'MustAskInNs':1200000000}," + settings
                 + "'FamilyInfo':{'VoteStandsNs':10000000000,'CallTimeoutNs':300000000,'VotesPerS':30,"
                 + "'Caps':[1,1],'Waves':[0.5,1],'WindowNs':2000000000,'Uncounted':1}}}";
-        agent = new Agent(new Loop(), fields(config));
+        Loop loop = new Loop();
+        queries = new Queries(loop, fields(config));
+        agent = new Agent(loop, List.of(queries));
         agent.start();
     }
 
@@ -723,8 +726,8 @@
         start(entry("s-1", nobody, "SERVING", 1), "'RegistryMode':'ask',", nobody, nobody, 1024);
         for (String file : files.split(" ")) {
             String moved = "{'discovery':'" + list.address() + "'";
-            agent.reread(() -> fields(moved + (file.equals("half") ? "" : file.equals("nodesk") ? "}"
-                    : ",'rollouts':{'address':'" + desk.address() + "'}}")));
+            agent.reread(List.of(() -> queries.reread(fields(moved + (file.equals("half") ? ""
+                    : file.equals("nodesk") ? "}" : ",'rollouts':{'address':'" + desk.address() + "'}}")))));
         }
         assertEquals(answer, askUntil(answer));
         boolean moves = files.endsWith("moved");
--- /dev/null
+++ b/src/test/java/honeygap/net/FlagsTest.java
@@ -0,0 +1,666 @@
+package honeygap.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import honeygap.read.Fields;
+import honeygap.read.FlagSheet;
+import honeygap.read.Malformed;
+import java.io.BufferedInputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The flag API among scripted servers on loopback. */
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class FlagsTest {
+
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private Agent agent;
+    private Flags flags;
+
+    @AfterEach
+    void close() throws Exception {
+        assertEquals(0, Loop.broken());
+        if (agent != null) {
+            agent.end();
+        }
+        for (AutoCloseable peer : open) {
+            peer.close();
+        }
+    }
+
+    /** A flag server that plays a script a request, the last one over again. */
+    final class Scripted implements AutoCloseable {
+
+        volatile String[] scripts;
+        final AtomicInteger played = new AtomicInteger();
+        final AtomicInteger connections = new AtomicInteger();
+        final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+        final CountDownLatch go = new CountDownLatch(1);
+        final ServerSocket server;
+        private final List<Socket> sockets = new ArrayList<>();
+
+        Scripted(String scripts) throws IOException {
+            this.scripts = scripts.split(" ");
+            server = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+            open.add(this);
+            thread(() -> {
+                while (true) {
+                    Socket socket = server.accept();
+                    synchronized (sockets) {
+                        sockets.add(socket);
+                    }
+                    socket.setTcpNoDelay(true);
+                    connections.incrementAndGet();
+                    thread(() -> serve(socket));
+                }
+            });
+        }
+
+        private void serve(Socket socket) throws IOException {
+            DataInputStream in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
+            OutputStream out = socket.getOutputStream();
+            while (true) {
+                String[] request = Http.read(in);
+                heard.add(request[1] + request[2]);
+                String name = request[0].replaceAll("POST /ofrep/v1/(evaluate/flags/?)?([^ ]*) .*", "$2");
+                String[] script = scripts[Math.min(played.getAndIncrement(), scripts.length - 1)].split(":");
+                String value = script.length > 2 ? script[2] : "true";
+                String version = script.length > 1 ? script[1] : "1";
+                String body = name.isEmpty() ? "{'flags':[" + flag("a", value, version) + ","
+                        + flag("b", value, version) + "]}" : flag(name, value, version);
+                if (request[0].contains("/track")) {
+                    body = "{}";
+                }
+                body = body.replace('\'', '"');
+                if (script[0].startsWith("wait")) {
+                    await(go);
+                }
+                switch (script[0]) {
+                    case "ok", "wait" -> out.write(Http.answer(200, "", body));
+                    case "close" -> {
+                        out.write(Http.answer(200, "Connection: close\r\n", body));
+                        socket.close();
+                    }
+                    case "bytes" -> {
+                        for (byte one : Http.answer(200, "", body)) {
+                            out.write(one);
+                        }
+                    }
+                    case "chunks" -> out.write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            + "1\r\n{\r\n" + Integer.toHexString(body.length() - 1) + "\r\n" + body.substring(1)
+                            + "\r\n0\r\n\r\n").getBytes(StandardCharsets.UTF_8));
+                    case "half", "waithalf" -> {
+                        byte[] whole = Http.answer(200, "", body);
+                        out.write(whole, 0, whole.length - 5);
+                        socket.close();
+                    }
+                    case "openended" -> {
+                        out.write(("HTTP/1.1 200 OK\r\n\r\n" + body).getBytes(StandardCharsets.UTF_8));
+                        socket.close();
+                    }
+                    case "twice" -> {
+                        out.write(Http.answer(200, "", body));
+                        out.write(Http.answer(200, "", body));
+                    }
+                    case "reset", "waitreset" -> {
+                        socket.setSoLinger(true, 0);
+                        socket.close();
+                    }
+                    case "silent" -> in.read();
+                    case "html" -> out.write(Http.answer(200, "", "<html>"));
+                    case "other" -> out.write(Http.answer(200, "", flag("other", value, version).replace('\'', '"')));
+                    case "huge" -> out.write("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n{"
+                            .getBytes(StandardCharsets.UTF_8));
+                    case "both" -> out.write(("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+                            + "Transfer-Encoding: chunked\r\n\r\n{}").getBytes(StandardCharsets.UTF_8));
+                    default -> out.write(Http.answer(Integer.parseInt(script[0]), script.length > 1
+                            ? "Retry-After: " + script[1] + "\r\n" : "", "{\"key\":\"" + name
+                            + "\",\"errorCode\":\"" + (script[0].equals("404") ? "FLAG_NOT_FOUND" : "GENERAL")
+                            + "\"}"));
+                }
+                if (socket.isClosed()) {
+                    return;
+                }
+            }
+        }
+
+        private String flag(String name, String value, String version) {
+            return "{'key':'" + name + "','reason':'STATIC','variant':'x','value':" + value
+                    + ",'metadata':{'version':'" + version + "'}}";
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        /** From now on it plays this. */
+        void play(String scripts) {
+            this.scripts = scripts.split(" ");
+            played.set(0);
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+            synchronized (sockets) {
+                for (Socket socket : sockets) {
+                    socket.close();
+                }
+            }
+        }
+    }
+
+    private static void await(CountDownLatch latch) throws IOException {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
+    private interface Task {
+        void run() throws IOException;
+    }
+
+    private static void thread(Task task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (IOException e) {
+                // The other side has closed.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** A client's connection; answers as status and body. */
+    final class Caller implements AutoCloseable {
+
+        final Socket socket;
+        final DataInputStream in;
+
+        Caller() throws IOException {
+            socket = new Socket();
+            socket.connect(agent.address(0));
+            socket.setTcpNoDelay(true);
+            socket.setSoTimeout(20_000);
+            in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
+            open.add(this);
+        }
+
+        String raw(String words) throws IOException {
+            socket.getOutputStream().write(words.getBytes(StandardCharsets.ISO_8859_1));
+            return hear();
+        }
+
+        String[] head = new String[3];
+
+        String hear() {
+            try {
+                head = Http.read(in);
+                return head[0].split(" ")[1] + " " + head[2];
+            } catch (IOException e) {
+                return "end";
+            }
+        }
+
+        String post(String path, String key, String fields) throws IOException {
+            return raw(Http.post(path, fields, "{\"context\":{\"targetingKey\":\"" + key + "\"}}"));
+        }
+
+        String one(String flag, String key) throws IOException {
+            return post("/ofrep/v1/evaluate/flags/" + flag, key, "");
+        }
+
+        String all(String key, String fields) throws IOException {
+            return post("/ofrep/v1/evaluate/flags", key, fields);
+        }
+
+        String track(String token) throws IOException {
+            return post("/ofrep/v1/track", "k", token.isEmpty() ? "" : "Idempotency-Key: " + token + "\r\n");
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    static Fields fields(String words) throws IOException, Malformed {
+        try (JsonParser parser = new JsonFactory().createParser(words.replace('\'', '"'))) {
+            return Fields.document(parser);
+        }
+    }
+
+    static String server(String name, String address, int build, String status) {
+        return "{'name':'" + name + "','address':'" + address + "','build':" + build + ",'status':'" + status + "'}";
+    }
+
+    private static final String SOON = "'methods':{'one':{'aim':'200ms','deadline':'1s'},"
+            + "'all':{'aim':'200ms','deadline':'1s'},'track':{'deadline':'1s'},"
+            + "'tracked':{'deadline':'1s','window':'300ms'}},";
+
+    private void start(String more, String... servers) throws IOException, Malformed {
+        Loop loop = new Loop();
+        flags = new Flags(loop, sheet(more, servers), 7);
+        agent = new Agent(loop, List.of(flags));
+        agent.start();
+    }
+
+    private static FlagSheet sheet(String more, String... servers) throws IOException, Malformed {
+        return FlagSheet.of(fields("{'listen':'127.0.0.1:0'," + (more.contains("'methods'") ? "" : SOON) + more
+                + "'servers':[" + String.join(",", servers) + "]}"));
+    }
+
+    private Scripted start(String scripts) throws IOException, Malformed {
+        Scripted server = new Scripted(scripts);
+        start("", server("s", server.address(), 1, "up"));
+        return server;
+    }
+
+    private Map<String, Map<String, Long>> counters() throws Exception {
+        CompletableFuture<Map<String, Map<String, Long>>> all = new CompletableFuture<>();
+        agent.onLoop(() -> all.complete(agent.counters().groups()));
+        return all.get();
+    }
+
+    private long counter(String group, String name) throws Exception {
+        return counters().get(group).getOrDefault(name, 0L);
+    }
+
+    /** What servers may do with a pick: the client's status, and how often a server was asked. */
+    @ParameterizedTest
+    @CsvSource({
+        "one,ok,200,1", "one,bytes,200,1", "one,chunks,200,1", "one,close,200,1", "one,half ok,200,2",
+        "one,reset ok,200,2", "one,500 ok,200,2", "one,429 ok,200,2", "one,html ok,200,2", "one,other ok,200,2",
+        "one,huge ok,200,2", "one,both ok,200,2", "one,openended ok,200,2", "one,twice,200,1",
+        "one,404,404,1", "one,400,400,1", "one,401,401,1", "one,403,403,1", "one,500,429,2", "one,302 ok,200,2",
+        "all,ok,200,1", "all,chunks,200,1", "all,half ok,200,2", "all,html ok,200,2", "all,404,429,2",
+        "track,ok,200,1", "track,reset ok,500,1", "track,half ok,500,1", "track,500 ok,500,1", "track,503 ok,500,1",
+        "track,429 ok,200,2", "track,silent ok,500,1", "track,twice,200,1",
+        "tracked,ok,200,1", "tracked,reset ok,200,2", "tracked,half ok,200,2", "tracked,500 ok,200,2"})
+    void outcomes(String method, String scripts, int status, int asked) throws Exception {
+        Scripted server = start(scripts);
+        Caller caller = new Caller();
+        String heard = switch (method) {
+            case "one" -> caller.one("a", "k");
+            case "all" -> caller.all("k", "");
+            default -> caller.track(method.equals("track") ? "" : "t1");
+        };
+        assertEquals("" + status, heard.substring(0, 3), heard);
+        assertEquals(asked, server.heard.size());
+        if (method.equals("tracked")) {
+            assertTrue(server.heard.stream().allMatch(request -> request.contains("Idempotency-Key: t1")));
+        }
+    }
+
+    /** A tokened event is not sent again once its window is over, nor one without a token at all. */
+    @Test
+    void windowOver() throws Exception {
+        Scripted server = start("silent ok");
+        // The first pick takes the whole deadline, longer than the window of 300 ms.
+        assertEquals("429", new Caller().track("t1").substring(0, 3).replace("500", "429"));
+        assertEquals(1, server.heard.size());
+    }
+
+    /** A server that drains halfway: what it has in hand ends once and whole, nothing new goes there. */
+    @ParameterizedTest
+    @CsvSource({"one,wait", "one,waithalf", "one,waitreset", "all,wait", "all,waithalf"})
+    void drainsHalfway(String method, String script) throws Exception {
+        Scripted first = new Scripted(script + ":1:1");
+        Scripted second = new Scripted("ok:1:2");
+        start("", server("s1", first.address(), 1, "up"));
+        Caller caller = new Caller();
+        CompletableFuture<String> heard = CompletableFuture.supplyAsync(() -> {
+            try {
+                return method.equals("one") ? caller.one("a", "k") : caller.all("k", "");
+            } catch (IOException e) {
+                return e.toString();
+            }
+        });
+        first.heard.take();
+        agent.reread(List.of(() -> flags.reread(sheet("", server("s1", first.address(), 1, "draining"),
+                server("s2", second.address(), 1, "up")))));
+        while (counter("flag servers", "servers") < 2) {
+            Thread.onSpinWait();
+        }
+        first.go.countDown();
+        String answer = heard.get();
+        assertEquals("200", answer.substring(0, 3));
+        String value = script.equals("wait") ? "1" : "2";
+        String other = value.equals("1") ? "2" : "1";
+        assertTrue(answer.contains("\"value\":" + value) && !answer.contains("\"value\":" + other), answer);
+        for (int i = 0; i < 20; i++) {
+            assertTrue(caller.one("a", "k" + i).contains("\"value\":2"));
+        }
+        assertEquals(0, first.heard.size(), "nothing new to one that drains");
+    }
+
+    /** A server that changes its answer between two tries: one of them, whole, and never back afterwards. */
+    @Test
+    void changesBetweenTries() throws Exception {
+        Scripted server = start("half:5:1 ok:6:2 ok:5:1");
+        Caller caller = new Caller();
+        assertTrue(caller.one("a", "k").contains("\"version\":\"6\""));
+        // The set is rolled back: the key that has met 6 never meets 5, others may.
+        assertEquals("429", caller.one("a", "k").substring(0, 3));
+        assertTrue(caller.one("a", "other").contains("\"version\":\"5\""));
+        server.play("ok:7:3");
+        assertTrue(caller.one("a", "k").contains("\"version\":\"7\""));
+        assertEquals(3, counter("flags", "older"));
+    }
+
+    /** The order holds over servers, single flags and bulk, and by the tag that a client brings along. */
+    @Test
+    void orderOverServers() throws Exception {
+        Scripted newer = new Scripted("ok:6:2");
+        Scripted older = new Scripted("ok:5:1");
+        start("", server("s1", newer.address(), 1, "up"), server("s2", older.address(), 1, "up"));
+        Caller caller = new Caller();
+        String tag = "";
+        long last = 0;
+        for (int i = 0; i < 200; i++) {
+            String heard = i % 3 == 0 ? caller.all("k", "") : caller.one("a", "k");
+            long version = heard.contains("\"version\":\"6\"") ? 6 : 5;
+            assertTrue(version >= last, "step back at " + i);
+            last = version;
+            tag = caller.head[1].contains("ETag: \"6-") ? caller.head[1].replaceAll("(?s).*ETag: (\\S+).*", "$1")
+                    : tag;
+        }
+        assertEquals(6, last);
+        assertFalse(tag.isEmpty());
+        // Not modified where the content is the same, whoever is asked; never an older one for this tag.
+        for (int i = 0; i < 50; i++) {
+            assertEquals("304 ", caller.all("fresh" + i, "If-None-Match: W/\"x\", " + tag + "\r\n"));
+        }
+    }
+
+    /** Alike questions at once are asked once; each caller is answered. */
+    @Test
+    void shared() throws Exception {
+        Scripted server = start("wait");
+        List<Caller> callers = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            Caller caller = new Caller();
+            caller.socket.getOutputStream().write(Http.post("/ofrep/v1/evaluate/flags/a", "", "{\"context\":{}}")
+                    .getBytes(StandardCharsets.US_ASCII));
+            callers.add(caller);
+        }
+        while (counter("flags", "shared") < 7) {
+            Thread.onSpinWait();
+        }
+        server.go.countDown();
+        for (Caller caller : callers) {
+            assertEquals("200", caller.hear().substring(0, 3));
+        }
+        assertEquals(1, server.heard.size());
+    }
+
+    /** All servers gone, or late, or turning away: last good answers where allowed, errors with a time else. */
+    @ParameterizedTest
+    @CsvSource({"gone,CACHED", "429:30,CACHED", "silent,CACHED", "500,CACHED"})
+    void nobodyAnswers(String trouble, String reason) throws Exception {
+        Scripted server = new Scripted("ok:5:1");
+        start("'keep':{'flags':[{'match':'a*','cachedFor':'1m','staleFor':'2m'},"
+                + "{'match':'','cachedFor':'0s','staleFor':'2m'}]},", server("s", server.address(), 1, "up"));
+        Caller caller = new Caller();
+        assertEquals("200", caller.one("a", "k").substring(0, 3));
+        assertEquals("200", caller.one("z", "k").substring(0, 3));
+        assertEquals("200", caller.all("k", "").substring(0, 3));
+        if (trouble.equals("gone")) {
+            agent.reread(List.of(() -> flags.reread(sheet("", server("s", server.address(), 1, "draining")))));
+        } else {
+            server.play(trouble);
+        }
+        for (int i = 0; i < 3; i++) {
+            String heard = caller.one("a", "k");
+            while (heard.contains("STATIC")) {
+                heard = caller.one("a", "k");
+            }
+            assertTrue(heard.startsWith("200") && heard.contains("\"reason\":\"" + reason + "\""), heard);
+        }
+        assertTrue(caller.all("k", "").contains("\"reason\":\"STALE\""));
+        String none = caller.one("z", "k");
+        assertTrue(none.startsWith("429") || none.startsWith("500"), none);
+        if (none.startsWith("429")) {
+            int wait = Integer.parseInt(caller.head[1].replaceAll("(?s).*Retry-After: (\\d+).*", "$1"));
+            assertTrue(trouble.startsWith("429") ? wait >= 25 && wait <= 30 : wait == 1, "wait " + wait);
+        }
+        // Back, and cold: served anew.
+        server.play("ok:6:2");
+        agent.reread(List.of(() -> flags.reread(sheet("", server("s", server.address(), 2, "up")))));
+        if (!trouble.startsWith("429")) {
+            String heard = caller.one("a", "k");
+            while (!heard.contains("\"version\":\"6\"")) {
+                heard = caller.one("a", "k");
+            }
+        }
+    }
+
+    /** What a server says of when to come back is kept: it gets nothing until then, the others all. */
+    @Test
+    void retryAfter() throws Exception {
+        Scripted tired = new Scripted("429:60");
+        Scripted fine = new Scripted("ok");
+        start("", server("s1", tired.address(), 1, "up"), server("s2", fine.address(), 1, "up"));
+        Caller caller = new Caller();
+        for (int i = 0; i < 100; i++) {
+            assertEquals("200", caller.one("a", "k" + i).substring(0, 3));
+        }
+        assertEquals(1, tired.heard.size());
+    }
+
+    /** A build on trial that is wrong goes back, by this agent's vote, and stays under its cap throughout. */
+    @ParameterizedTest
+    @CsvSource({"500", "ok:1:7", "reset"})
+    void badBuild(String scripts) throws Exception {
+        Scripted good = new Scripted("ok");
+        Scripted bad = new Scripted(scripts);
+        start("'sharing':false,'rollout':{'caps':[0.2,0.5],'soak':'1h','window':'1s','uncounted':1},",
+                server("s1", good.address(), 1, "up"), server("s2", good.address(), 1, "up"));
+        Caller caller = new Caller();
+        for (int i = 0; i < 50; i++) {
+            assertEquals("200", caller.one("a", "k" + i).substring(0, 3));
+        }
+        agent.reread(List.of(() -> flags.reread(sheet("", server("s1", good.address(), 1, "up"),
+                server("s2", good.address(), 1, "up"), server("s3", bad.address(), 2, "up")))));
+        int asked = 0;
+        while (counter("flag build", "phase") != 3) {
+            String heard = caller.one("a", "l" + asked++);
+            assertTrue(heard.startsWith("200") && heard.contains("\"value\":true"), heard);
+            assertTrue(bad.heard.size() <= 1 + 0.2 * (asked + 50), bad.heard.size() + " of " + asked);
+            assertTrue(asked < 5000, "never sent back");
+        }
+        int exposed = bad.heard.size();
+        for (int i = 0; i < 50; i++) {
+            assertEquals("200", caller.one("a", "m" + i).substring(0, 3));
+        }
+        assertEquals(exposed, bad.heard.size());
+    }
+
+    /** What clients may send that is not right: the answer, and whether the connection goes on behind it. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "GET / HTTP/1.1~Host: x~~|404|goes on", "POST /ofrep/v1/evaluate/flags/a HTTP/1.1~~|400|ends",
+        "GET /ofrep/v1/evaluate/flags/a HTTP/1.1~Host: x~~|405|goes on",
+        "POST /ofrep/v1/evaluate/flags/a%2 HTTP/1.1~Host: x~Content-Length: 0~~|400|goes on",
+        "POST /ofrep/v1/evaluate/flags/%FF HTTP/1.1~Host: x~Content-Length: 0~~|400|goes on",
+        "POST /ofrep/v1/evaluate/flags/.. HTTP/1.1~Host: x~Content-Length: 0~~|400|goes on",
+        "POST /ofrep/v1/evaluate/flags/a HTTP/1.1~Host: x~Content-Length: 2~Content-Length: 2~~{}|400|ends",
+        "POST /ofrep/v1/evaluate/flags/a HTTP/1.1~Host: x~Content-Length: 2~Transfer-Encoding: chunked~~0~~|400|ends",
+        "POST /ofrep/v1/evaluate/flags/a HTTP/1.1~Host: x~Transfer-Encoding: gzip, chunked~~|501|ends",
+        "POST /ofrep/v1/evaluate/flags/a HTTP/1.1~Host: x~Transfer-Encoding : chunked~~|400|ends",
+        "POST /ofrep/v1/evaluate/flags/a HTTP/1.1~Host: x~Content-Length: -1~~|400|ends",
+        "POST /ofrep/v1/evaluate/flags/a HTTP/1.1~Host: x~Content-Length: 99999999999999999999~~|400|ends",
+        "POST /ofrep/v1/evaluate/flags/a HTTP/1.1~Host: x~Content-Length: 1000000~~|413|ends",
+        "POST /ofrep/v1/evaluate/flags/a HTTP/1.1~Host: x~Transfer-Encoding: chunked~~ffffffff~|413|ends",
+        "POST /ofrep/v1/evaluate/flags/a HTTP/1.1~Host: x~Transfer-Encoding: chunked~~-1~|400|ends",
+        "POST /ofrep/v1/evaluate/flags/a HTTP/1.1~Host: x~Transfer-Encoding: chunked~~2~{}xx|400|ends",
+        "POST /x HTTP/1.1~Host: x~ folded~~|400|ends", "POST /x HTTP/1.1^Host: x~~|400|ends",
+        "POST /x HTTP/2.0~Host: x~~|505|ends", "nonsense~~|400|ends", "POST /x HTTP/1.1~Host: x~Host: y~~|400|ends",
+        "POST /ofrep/v1/evaluate/flags/a HTTP/1.1~Host: x~Content-Encoding: gzip~Content-Length: 0~~|415|goes on",
+        "POST /ofrep/v1/evaluate/flags/a HTTP/1.1~Host: x~Content-Type: text/xml~Content-Length: 0~~|415|goes on",
+        "POST /ofrep/v1/evaluate/flags/a HTTP/1.1~Host: x~X-Deadline-Ms: soon~Content-Length: 14~~{\"context\":{}}"
+            + "|400|goes on"})
+    void badRequests(String sends, int status, String then) throws Exception {
+        Scripted server = start("ok");
+        Caller caller = new Caller();
+        String heard = caller.raw(sends.replace("~", "\r\n").replace("^", "\n"));
+        assertEquals("" + status, heard.substring(0, 3), heard);
+        assertTrue(heard.contains("errorDetails"), heard);
+        assertEquals(then.equals("ends"), caller.head[1].contains("Connection: close"));
+        if (then.equals("ends")) {
+            assertEquals("end", caller.hear());
+        } else {
+            assertEquals("200", caller.one("a", "k").substring(0, 3));
+        }
+        assertEquals(then.equals("ends") ? 0 : 1, server.heard.size());
+        assertEquals("200", new Caller().one("a", "k").substring(0, 3), "others notice nothing");
+    }
+
+    /** Bodies that are not right: the code of the protocol, with the place. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "[]|PARSE_ERROR", "{|PARSE_ERROR", "{}|INVALID_CONTEXT", "{\"context\":5}|INVALID_CONTEXT",
+        "{\"context\":{\"targetingKey\":5}}|INVALID_CONTEXT", "{\"context\":{}} {}|PARSE_ERROR",
+        "{\"context\":{\"a\":1,\"a\":2}}|PARSE_ERROR", "{\"context\":{\"a\":\"\u00ff\"}}|PARSE_ERROR",
+        "DEEP|PARSE_ERROR"})
+    void badBodies(String body, String code) throws Exception {
+        start("ok");
+        Caller caller = new Caller();
+        String sent = body.equals("DEEP") ? "{\"context\":{\"a\":" + "[".repeat(10_000) + "]".repeat(10_000) + "}}"
+                : body;
+        String heard = caller.raw(Http.post("/ofrep/v1/evaluate/flags/a", "", sent));
+        assertTrue(heard.startsWith("400") && heard.contains("\"errorCode\":\"" + code + "\"")
+                && heard.contains("\"key\":\"a\""), heard);
+        assertEquals("200", caller.one("a", "k").substring(0, 3));
+        assertEquals(1, counter("flag clients", "refused: " + code));
+    }
+
+    /** Heads without an end, and too many fields: turned down at a bound, not kept. */
+    @ParameterizedTest
+    @ValueSource(strings = {"GET /", "GET / HTTP/1.1\r\nX: ", "GET / HTTP/1.1\r\n"})
+    void endlessHeads(String begin) throws Exception {
+        start("ok");
+        Caller caller = new Caller();
+        caller.socket.getOutputStream().write((begin + (begin.endsWith("\n") ? "x: y\r\n".repeat(100) + "\r\n"
+                : "x".repeat(40_000))).getBytes(StandardCharsets.ISO_8859_1));
+        assertEquals("431", caller.hear().substring(0, 3));
+        assertEquals("200", new Caller().one("a", "k").substring(0, 3));
+    }
+
+    /** Requests sent one behind another, cut into pieces of any size, are answered in their order. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 7, 100, 100_000})
+    void pipelined(int size) throws Exception {
+        start("ok");
+        Caller caller = new Caller();
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < 20; i++) {
+            all.append(i % 2 == 0 ? Http.post("/ofrep/v1/evaluate/flags/f" + i, "", "{\"context\":{}}")
+                    : "\r\nPOST /ofrep/v1/evaluate/flags/f" + i + " HTTP/1.1\r\nHost: x\r\n"
+                    + "Transfer-Encoding: chunked\r\n\r\n5;x=y\r\n{\"con\r\n009\r\ntext\":{}}\r\n0\r\nT: x\r\n\r\n");
+        }
+        byte[] bytes = all.toString().getBytes(StandardCharsets.ISO_8859_1);
+        for (int i = 0; i < bytes.length; i += size) {
+            caller.socket.getOutputStream().write(bytes, i, Math.min(size, bytes.length - i));
+        }
+        for (int i = 0; i < 20; i++) {
+            String heard = caller.hear();
+            assertTrue(heard.startsWith("200") && heard.contains("\"key\":\"f" + i + "\""), heard);
+        }
+    }
+
+    /** Hundreds that say nothing, or half of something: closed in time, and others are served throughout. */
+    @Test
+    void silentCrowd() throws Exception {
+        start("'clients':100,", server("s", new Scripted("ok").address(), 1, "up"));
+        List<Caller> crowd = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            Caller caller = new Caller();
+            if (i % 2 == 0) {
+                caller.socket.getOutputStream().write("POST /ofrep".getBytes(StandardCharsets.US_ASCII));
+            }
+            crowd.add(caller);
+            if (i % 30 == 0) {
+                assertEquals("200", new Caller().one("a", "k").substring(0, 3));
+            }
+        }
+        for (Caller caller : crowd) {
+            String heard = caller.hear();
+            assertTrue(heard.equals("end") || heard.startsWith("408") || heard.startsWith("503"), heard);
+        }
+        assertEquals("200", new Caller().one("a", "k").substring(0, 3));
+    }
+
+    /** A client that leaves, and a deadline of its own; nothing is left open behind either. */
+    @Test
+    void leavesAndDeadlines() throws Exception {
+        Scripted server = start("silent");
+        Caller gone = new Caller();
+        gone.socket.getOutputStream().write(Http.post("/ofrep/v1/evaluate/flags/a", "", "{\"context\":{}}")
+                .getBytes(StandardCharsets.US_ASCII));
+        server.heard.take();
+        gone.close();
+        Caller caller = new Caller();
+        long since = System.nanoTime();
+        String heard = caller.post("/ofrep/v1/evaluate/flags/b", "k", "X-Deadline-Ms: 300\r\n");
+        long took = (System.nanoTime() - since) / 1_000_000;
+        assertTrue(heard.startsWith("429") || heard.startsWith("500"), heard);
+        assertTrue(took <= 300, "answered before its deadline: " + took);
+        while (counter("flags", "open") > 0) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Leave to send a body is given; what is too long is turned down before it is sent. */
+    @Test
+    void leaveToSend() throws Exception {
+        start("ok");
+        Caller caller = new Caller();
+        assertEquals("100", caller.raw("POST /ofrep/v1/evaluate/flags/a HTTP/1.1\r\nHost: x\r\n"
+                + "Expect: 100-continue\r\nContent-Length: 14\r\n\r\n").substring(0, 3));
+        assertEquals("200", caller.raw("{\"context\":{}}").substring(0, 3));
+    }
+
+    /** A file that can't be read whole changes nothing. */
+    @Test
+    void brokenReread() throws Exception {
+        Scripted server = start("ok");
+        agent.reread(List.of(() -> flags.reread(FlagSheet.of(fields("{'listen':5}")))));
+        while (counter("agent", "not read") == 0) {
+            Thread.onSpinWait();
+        }
+        assertEquals("200", new Caller().one("a", "k").substring(0, 3));
+        assertEquals(1, server.heard.size());
+    }
+
+    static InetSocketAddress at(Agent agent) {
+        return agent.address(0);
+    }
+}
