--- a/src/test/java/honeygap/RulesTest.java
+++ b/src/test/java/honeygap/RulesTest.java
@@ -463,4 +463,56 @@
         }
         assertEquals(back, said.contains("vote" + Build.VOTE_BACK));
     }
+
+    /** Records of earlier builds leave with their last appliance and pick, however many builds come and go. */
+    @ParameterizedTest
+    @CsvSource({"false", "true"})
+    void buildsLeave(boolean isOut) {
+        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        agency.warm(1, agency.old);
+        Rpc rpc = isOut ? agency.take(0, null) : null;
+        agency.pull();
+        agency.rules.told(agency.fresh, Build.RELEASED, 0, 1, false, agency.now, 0);
+        agency.warm(2, agency.fresh);
+        assertFalse(agency.old.left);
+        agency.list(1, agency.old, 0, 0, Appliance.GONE, Rules.LONG_AGO);
+        assertEquals(!isOut, agency.old.left);
+        if (isOut) {
+            agency.after(100);
+            agency.end(rpc, Pick.OK);
+            agency.warm(2, agency.fresh);
+            assertTrue(agency.old.left);
+        }
+        assertFalse(agency.fresh.left);
+        // One that comes back is known anew.
+        Build again = new Build(1, 3);
+        agency.warm(3, again);
+        assertFalse(again.left);
+        assertEquals("pick2", agency.after(100).take(0, null) == null ? "" : agency.pull());
+    }
+
+    /** A server that wants nothing gets nothing until then, and its location no more at once than it had. */
+    @ParameterizedTest
+    @CsvSource({"0,0,pick1", "500,0,pick2", "500,1,pushback", "500,3,pick2"})
+    void barred(long barredFor, int limit, String then) {
+        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        agency.warm(1, agency.old);
+        Appliance other = agency.list(2, agency.old, 0, 0, Appliance.UP, Rules.LONG_AGO);
+        agency.take(0, null);
+        agency.pull();
+        Appliance first = agency.fleet.get(0);
+        Appliance tired = other.room.out > 0 ? other : first;
+        if (barredFor > 0) {
+            tired.barredUntil = agency.now + barredFor * 100;
+            tired.zone.most = limit;
+            tired.zone.limitedUntil = limit > 0 ? tired.barredUntil : 0;
+        }
+        agency.after(100);
+        agency.take(0, null);
+        String said = agency.pull();
+        agency.after(1000);
+        said += agency.pull();
+        String wanted = then.equals("pushback") ? then : "pick" + (barredFor > 0 ? tired == first ? 2 : 1 : 0);
+        assertTrue(said.startsWith(barredFor > 0 ? wanted : "pick"), said);
+    }
 }
--- /dev/null
+++ b/src/test/java/honeygap/bench/StructuresBench.java
@@ -0,0 +1,123 @@
+package honeygap.bench;
+
+import honeygap.flags.Kept;
+import honeygap.flags.Question;
+import honeygap.flags.Versions;
+import honeygap.fleet.Method;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+
+/** The structures of flag answers beside plain maps that are bounded likewise; docs/results.md has the figures. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(2)
+public class StructuresBench {
+
+    /** Keys that come, of which a tenth has room. */
+    @Param({"10000", "1000000"})
+    public int keys;
+
+    private Versions versions;
+    private Map<Long, Long> plainVersions;
+    private Kept kept;
+    private Map<Question, byte[]> plainKept;
+    private Question[] questions;
+    private final byte[] body = new byte[200];
+    private SplittableRandom random;
+    private long step;
+
+    private static <K, V> Map<K, V> bounded(int most) {
+        return new LinkedHashMap<>(16, 0.75f, true) {
+            private static final long serialVersionUID = 1;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
+                return size() > most;
+            }
+        };
+    }
+
+    @Setup
+    public void fill() {
+        random = new SplittableRandom(1);
+        versions = new Versions(keys / 10, keys / 10);
+        plainVersions = bounded(keys / 10);
+        kept = new Kept(keys / 10 * 300);
+        plainKept = bounded(keys / 10);
+        Method method = new Method(0, 0, 0, 0, 1, 1, 1, 0);
+        questions = new Question[keys];
+        for (int i = 0; i < keys; i++) {
+            byte[] identity = ("POST /flags/a {\"targetingKey\":\"" + i + "\"}").getBytes(StandardCharsets.UTF_8);
+            questions[i] = new Question(method, "a", i + 1, identity, i * 0x9e3779b97f4a7c15L, true);
+        }
+        for (int i = 0; i < keys; i++) {
+            versionsMet();
+            mapMet();
+            keptKeepAndFind();
+            mapKeepAndFind();
+        }
+    }
+
+    @Benchmark
+    public long versionsMet() {
+        long key = 1 + random.nextInt(keys);
+        long floor = versions.floor(key);
+        versions.met(key, Math.max(floor, ++step / 1000));
+        return floor;
+    }
+
+    @Benchmark
+    public long mapMet() {
+        Long key = 1L + random.nextInt(keys);
+        Long floor = plainVersions.get(key);
+        plainVersions.put(key, floor == null ? ++step / 1000 : Math.max(floor, ++step / 1000));
+        return floor == null ? 0 : floor;
+    }
+
+    @Benchmark
+    public int keptKeepAndFind() {
+        kept.keep(questions[random.nextInt(keys)], 1, body, ++step);
+        return kept.find(questions[random.nextInt(keys)]);
+    }
+
+    @Benchmark
+    public byte[] mapKeepAndFind() {
+        plainKept.put(questions[random.nextInt(keys)], body.clone());
+        return plainKept.get(questions[random.nextInt(keys)]);
+    }
+
+    /** Only for the unbounded plain map, as a floor of what any map takes. */
+    @State(Scope.Thread)
+    public static class Unbounded {
+        final Map<Long, Long> map = new HashMap<>();
+    }
+
+    @Benchmark
+    public Long unboundedMet(Unbounded unbounded) {
+        return unbounded.map.merge(1L + random.nextInt(keys), ++step / 1000, Math::max);
+    }
+
+    public static void main(String[] args) throws Exception {
+        new Runner(new OptionsBuilder().include(StructuresBench.class.getSimpleName()).build()).run();
+    }
+}
