Captures: pcap and pcapng read, replayed through an agent, recorded by it

Need: a busy morning's traffic as a source, and a record of what an agent sends and receives, by files alone. Change: honeygap.capture: files (both formats, gzip, zstd), packets, streams (a decision module without I/O: gaps, order by acknowledgements, bounds), messages by the agent's own parsers, rows (Avro, CSV, JSON lines), a filter language by ANTLR, anonymising, a morning made from a seed, replay (a plan without I/O under a host), recording through a ring that the loop never waits for, a strict checker.

--- /dev/null
+++ b/src/main/java/honeygap/capture/file/Spoilt.java
@@ -0,0 +1,17 @@
+package honeygap.capture.file;
+
+import java.io.IOException;
+
+/** A file that can't be read on: which, where, and what is wrong there. */
+public final class Spoilt extends IOException {
+
+    private static final long serialVersionUID = 1;
+
+    /** Counted by this. */
+    public final String kind;
+
+    public Spoilt(String file, long place, String kind, String words) {
+        super(file + ": byte " + place + ": " + words);
+        this.kind = kind;
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/capture/packet/Address.java
@@ -0,0 +1,38 @@
+package honeygap.capture.packet;
+
+/** An address and a port: four or sixteen bytes as two numbers. */
+public record Address(boolean isSix, long high, long low, int port) implements Comparable<Address> {
+
+    public static Address four(int address, int port) {
+        return new Address(false, 0, address & 0xffffffffL, port);
+    }
+
+    /** Reads what {@link #toString} writes: figures and a port. */
+    public static Address of(java.net.InetSocketAddress socket) {
+        byte[] bytes = socket.getAddress().getAddress();
+        java.nio.ByteBuffer buffer = java.nio.ByteBuffer.wrap(bytes);
+        return bytes.length == 4 ? four(buffer.getInt(), socket.getPort())
+                : new Address(true, buffer.getLong(), buffer.getLong(), socket.getPort());
+    }
+
+    @Override
+    public int compareTo(Address other) {
+        int order = Boolean.compare(isSix, other.isSix);
+        order = order != 0 ? order : Long.compareUnsigned(high, other.high);
+        order = order != 0 ? order : Long.compareUnsigned(low, other.low);
+        return order != 0 ? order : Integer.compare(port, other.port);
+    }
+
+    @Override
+    public String toString() {
+        if (!isSix) {
+            return (low >>> 24) + "." + (low >>> 16 & 255) + "." + (low >>> 8 & 255) + "." + (low & 255) + ":" + port;
+        }
+        StringBuilder words = new StringBuilder("[");
+        for (int i = 0; i < 8; i++) {
+            long half = i < 4 ? high : low;
+            words.append(i > 0 ? ":" : "").append(Long.toHexString(half >>> 48 - 16 * (i % 4) & 0xffff));
+        }
+        return words.append("]:").append(port).toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/capture/record/Rows.java
@@ -0,0 +1,118 @@
+package honeygap.capture.record;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import honeygap.capture.message.Spoken;
+import java.io.BufferedWriter;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.OutputStreamWriter;
+import java.io.Writer;
+import java.nio.charset.StandardCharsets;
+import org.apache.avro.Schema;
+import org.apache.avro.SchemaBuilder;
+import org.apache.avro.file.CodecFactory;
+import org.apache.avro.file.DataFileWriter;
+import org.apache.avro.generic.GenericData;
+import org.apache.avro.generic.GenericDatumWriter;
+import org.apache.avro.generic.GenericRecord;
+
+/** Writes a row an RPC, in one of several forms. */
+public interface Rows extends Closeable {
+
+    void write(Spoken spoken) throws IOException;
+
+    /** Comma-separated (RFC 4180), with a head. */
+    final class Csv implements Rows {
+
+        private final Writer out;
+
+        public Csv(OutputStream out) throws IOException {
+            this.out = new BufferedWriter(new OutputStreamWriter(out, StandardCharsets.UTF_8));
+            String[] names = Row.COLUMNS.stream().map(Row.Column::name).toArray(String[]::new);
+            this.out.write(String.join(",", names) + "\r\n");
+        }
+
+        @Override
+        public void write(Spoken spoken) throws IOException {
+            String comma = "";
+            for (Row.Column column : Row.COLUMNS) {
+                out.write(comma);
+                comma = ",";
+                String words = column.value().apply(spoken).toString();
+                boolean isPlain = words.chars().noneMatch(c -> c == ',' || c == '"' || c == '\r' || c == '\n');
+                out.write(isPlain ? words : '"' + words.replace("\"", "\"\"") + '"');
+            }
+            out.write("\r\n");
+        }
+
+        @Override
+        public void close() throws IOException {
+            out.close();
+        }
+    }
+
+    /** An object a line. */
+    final class JsonLines implements Rows {
+
+        private final JsonGenerator out;
+
+        public JsonLines(OutputStream out) throws IOException {
+            this.out = new JsonFactory().createGenerator(out);
+            this.out.setRootValueSeparator(new com.fasterxml.jackson.core.io.SerializedString("\n"));
+        }
+
+        @Override
+        public void write(Spoken spoken) throws IOException {
+            out.writeStartObject();
+            for (Row.Column column : Row.COLUMNS) {
+                Object value = column.value().apply(spoken);
+                if (column.isText()) {
+                    out.writeStringField(column.name(), value.toString());
+                } else {
+                    out.writeNumberField(column.name(), (Long) value);
+                }
+            }
+            out.writeEndObject();
+        }
+
+        @Override
+        public void close() throws IOException {
+            out.writeRaw('\n');
+            out.close();
+        }
+    }
+
+    /** An Avro file, in blocks compressed with zstd. */
+    final class Avro implements Rows {
+
+        private final Schema schema;
+        private final DataFileWriter<GenericRecord> out;
+
+        public Avro(OutputStream to) throws IOException {
+            SchemaBuilder.FieldAssembler<Schema> fields = SchemaBuilder.record("Rpc").namespace("honeygap").fields();
+            for (Row.Column column : Row.COLUMNS) {
+                fields = column.isText() ? fields.requiredString(column.name()) : fields.requiredLong(column.name());
+            }
+            schema = fields.endRecord();
+            out = new DataFileWriter<>(new GenericDatumWriter<GenericRecord>(schema));
+            out.setCodec(CodecFactory.zstandardCodec(3));
+            out.create(schema, to);
+        }
+
+        @Override
+        public void write(Spoken spoken) throws IOException {
+            GenericRecord row = new GenericData.Record(schema);
+            for (Row.Column column : Row.COLUMNS) {
+                row.put(column.name(), column.value().apply(spoken));
+            }
+            out.append(row);
+        }
+
+        @Override
+        public void close() throws IOException {
+            out.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/capture/replay/Rewriting.java
@@ -0,0 +1,75 @@
+package honeygap.capture.replay;
+
+import honeygap.capture.message.Spoken;
+import honeygap.capture.redact.Mask;
+import honeygap.net.pg.Words;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/**
+ * Makes the request that is sent of the one recorded: a new id, the deadline as it was or as set, keys and tokens
+ * mapped so that the same stay the same, or as they were.
+ */
+public final class Rewriting {
+
+    private final long seed;
+    private final long deadlineMs;
+    private final Mask mask;
+    private long ids;
+
+    /** A deadline of 0 is the recorded one; without a mask keys stay as they are. */
+    public Rewriting(long seed, long deadlineMs, Mask mask) {
+        this.seed = seed;
+        this.deadlineMs = deadlineMs;
+        this.mask = mask;
+    }
+
+    /** The whole message, with its length. */
+    public ByteBuffer request(Spoken spoken, int round) {
+        if (!spoken.protocol.equals("pg")) {
+            return ByteBuffer.wrap(spoken.request);
+        }
+        String text = new String(spoken.request, 5, spoken.request.length - 6, StandardCharsets.ISO_8859_1);
+        int comment = text.lastIndexOf("/*");
+        int quote = text.indexOf('\'');
+        int end = text.indexOf('\'', quote + 1);
+        String statement = text.substring(0, quote + 1) + mapped(text.substring(quote + 1, end))
+                + text.substring(end, comment);
+        StringBuilder fields = new StringBuilder();
+        for (String field : text.substring(comment + 2, text.lastIndexOf("*/")).split(",")) {
+            int equals = field.indexOf('=');
+            String name = field.substring(0, Math.max(0, equals)).strip();
+            String value = field.substring(equals + 1).strip();
+            if (name.equals("id")) {
+                value = id();
+            } else if (name.equals("d") && deadlineMs > 0) {
+                value = Long.toString(deadlineMs);
+            } else if (name.equals("k")) {
+                // A token names one effect: in another round of the record it is another one.
+                value = token(value, round);
+            }
+            fields.append(fields.length() > 0 ? "," : "").append(name).append('=').append(value);
+        }
+        return Words.query(statement + "/* " + fields + " */");
+    }
+
+    private String id() {
+        byte[] bytes = ByteBuffer.allocate(16).putLong(seed).putLong(ids++).array();
+        return String.format("%016x", MurmurHash3.hash128x64(bytes, 0, 16, 0)[0]);
+    }
+
+    private String token(String value, int round) {
+        byte[] bytes = (seed + "/" + round + "/" + value).getBytes(StandardCharsets.UTF_8);
+        return String.format("%016x", MurmurHash3.hash128x64(bytes, 0, bytes.length, 0)[0]);
+    }
+
+    private String mapped(String key) {
+        if (mask == null) {
+            return key;
+        }
+        byte[] bytes = key.getBytes(StandardCharsets.ISO_8859_1);
+        mask.hide(bytes, 0, bytes.length);
+        return new String(bytes, StandardCharsets.ISO_8859_1);
+    }
+}
--- a/src/main/java/honeygap/cli/Configured.java
+++ b/src/main/java/honeygap/cli/Configured.java
@@ -50,6 +50,10 @@
     private Fields told;
     private FlagSheet sheet;
 
+    /** The agent's loop, before anything is on it. */
+    void made(Loop loop) throws IOException {
+    }
+
     /** Goes on with the agent, not yet started. */
     abstract void run(Agent agent, PrintWriter out) throws IOException, Malformed, InterruptedException;
 
@@ -64,6 +68,7 @@
         Path file = config;
         try {
             Loop loop = new Loop();
+            made(loop);
             List<Protocol> protocols = new ArrayList<>();
             if (config != null) {
                 told = read();
--- /dev/null
+++ b/src/main/java/honeygap/cli/Replay.java
@@ -0,0 +1,124 @@
+package honeygap.cli;
+
+import honeygap.capture.Reading;
+import honeygap.capture.file.Spoilt;
+import honeygap.capture.message.Spoken;
+import honeygap.capture.query.Filter;
+import honeygap.capture.redact.Mask;
+import honeygap.capture.replay.Plan;
+import honeygap.capture.replay.Replayer;
+import honeygap.capture.replay.Rewriting;
+import honeygap.capture.replay.Tally;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.concurrent.Callable;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import picocli.CommandLine;
+
+/** Sends the RPCs of captures again. Exit codes: 0 answered as recorded, 1 some were not, 2 not to be read. */
+@CommandLine.Command(name = "replay", mixinStandardHelpOptions = true,
+        description = "Send the RPCs of captures to an agent, each at its recorded time, and compare the answers.")
+final class Replay implements Callable<Integer> {
+
+    /** RPCs are heard when they end, up to so long, in nanoseconds, after those that began later. */
+    private static final long LONGEST = 20_000_000_000L;
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @CommandLine.Parameters(paramLabel = "FILE", arity = "1..*")
+    private List<Path> files;
+
+    @CommandLine.Option(names = "--to", paramLabel = "ADDRESS", required = true,
+            description = "Where the agent listens, in figures.")
+    private String to;
+
+    @CommandLine.Option(names = "--speed", defaultValue = "1", description = "How many times as fast (default: 1).")
+    private double speed;
+
+    @CommandLine.Option(names = "--from", defaultValue = "0", description = "Seconds after the first RPC.")
+    private double from;
+
+    @CommandLine.Option(names = "--until", defaultValue = "1e9", description = "Seconds after the first RPC.")
+    private double until;
+
+    @CommandLine.Option(names = "--repeat", defaultValue = "1", description = "How many times over (default: 1).")
+    private int repeat;
+
+    @CommandLine.Option(names = "--effects",
+            description = "Also send what may have an effect; left out otherwise.")
+    private boolean effects;
+
+    @CommandLine.Option(names = "--deadline", paramLabel = "MS", defaultValue = "0",
+            description = "The deadline of each RPC in ms (default: as recorded).")
+    private long deadline;
+
+    @CommandLine.Option(names = "--map-keys", description = "Send other keys, the same for the same (by the seed).")
+    private boolean mapKeys;
+
+    @CommandLine.Option(names = "--by-value", description = "Compare answers by value, not by kind alone.")
+    private boolean byValue;
+
+    @CommandLine.Option(names = "--seed", defaultValue = "1")
+    private long seed;
+
+    @CommandLine.Option(names = "--where", paramLabel = "FILTER", description = "Only RPCs for which this holds.")
+    private String where;
+
+    @Override
+    public Integer call() throws Exception {
+        try {
+            if (!(speed > 0) || repeat < 1) {
+                throw new IllegalArgumentException("--speed and --repeat must be above 0");
+            }
+            int colon = to.lastIndexOf(':');
+            InetSocketAddress target = new InetSocketAddress(to.substring(0, Math.max(0, colon)),
+                    Integer.parseInt(to.substring(colon + 1)));
+            Predicate<Spoken> wanted = Filter.of(where);
+            Plan plan = new Plan(speed, effects, wanted, 10_000_000_000L);
+            Mask mask = mapKeys ? new Mask(ByteBuffer.allocate(8).putLong(seed).array()) : null;
+            Tally tally = new Tally();
+            Progress progress = new Progress();
+            new Replayer(target, plan, new Rewriting(seed, deadline, mask), tally, byValue).play(this::read, repeat,
+                    () -> progress.now("sent " + tally.sent() + ", ended " + tally.ended() + ", late " + tally.late()
+                            + ", differ " + tally.different()));
+            progress.end();
+            tally.print(spec.commandLine().getOut(), plan);
+            return tally.different() == 0 && tally.sent() == tally.ended() ? 0 : 1;
+        } catch (Spoilt | IllegalArgumentException e) {
+            spec.commandLine().getErr().println("replay: " + e.getMessage());
+        } catch (NoSuchFileException e) {
+            spec.commandLine().getErr().println("replay: " + e.getFile() + ": no such file");
+        }
+        return 2;
+    }
+
+    /** RPCs in the order of their beginnings: a capture tells of each when it ends. */
+    private void read(Consumer<Spoken> each) throws Exception {
+        PriorityQueue<Spoken> sorted = new PriorityQueue<>(Comparator.comparingLong(spoken -> spoken.at));
+        long[] first = {Long.MIN_VALUE};
+        Consumer<Spoken> cut = spoken -> {
+            first[0] = first[0] == Long.MIN_VALUE ? spoken.at : first[0];
+            double seconds = (spoken.at - first[0]) / 1e9;
+            if (seconds >= from && seconds <= until) {
+                each.accept(spoken);
+            }
+        };
+        try (Reading reading = new Reading(files)) {
+            reading.conversations(sorted::add, packet -> {
+                while (!sorted.isEmpty() && sorted.peek().at < packet.at - LONGEST) {
+                    cut.accept(sorted.poll());
+                }
+            });
+        }
+        while (!sorted.isEmpty()) {
+            cut.accept(sorted.poll());
+        }
+    }
+}
--- a/src/main/java/honeygap/cli/Standin.java
+++ b/src/main/java/honeygap/cli/Standin.java
@@ -6,6 +6,7 @@
 import honeygap.read.Malformed;
 import honeygap.read.Template;
 import honeygap.standin.FlagServer;
+import honeygap.standin.StoreServer;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -16,7 +17,7 @@
 import picocli.CommandLine;
 
 @CommandLine.Command(name = "standin", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "<kind>",
-        description = "Stand in for the servers behind an agent, on loopback.", subcommands = Standin.Flags.class)
+        description = "Stand in for the servers behind an agent, on loopback.", subcommands = {Standin.Flags.class, Standin.Store.class})
 final class Standin implements Runnable {
 
     @CommandLine.Spec
@@ -71,4 +72,33 @@
             }
         }
     }
+
+    @CommandLine.Command(name = "store", mixinStandardHelpOptions = true,
+            description = "Appliances on neighbouring ports, which answer each statement with the value that goes with"
+                    + " its key, until the end.")
+    static final class Store implements Callable<Integer> {
+
+        @CommandLine.Spec
+        private CommandLine.Model.CommandSpec spec;
+
+        @CommandLine.Option(names = "--port", defaultValue = "18201", description = "The first port.")
+        private int port;
+
+        @CommandLine.Option(names = "--count", defaultValue = "3", description = "How many appliances.")
+        private int count;
+
+        @CommandLine.Option(names = "--delay", defaultValue = "0", description = "Milliseconds an answer takes.")
+        private long delay;
+
+        @Override
+        public Integer call() throws IOException, InterruptedException {
+            for (int i = 0; i < count; i++) {
+                new StoreServer(new InetSocketAddress(InetAddress.getLoopbackAddress(), port + i)).delay(delay);
+            }
+            spec.commandLine().getOut().println("appliances on 127.0.0.1, ports " + port + " to " + (port + count - 1)
+                    + "; end with Ctrl-C");
+            new CountDownLatch(1).await();
+            return 0;
+        }
+    }
 }
--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -4,7 +4,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import org.tinylog.Logger;
 
@@ -21,6 +23,7 @@
     private final List<Protocol> protocols;
     private final List<InetSocketAddress> bound = new ArrayList<>();
     private final CountDownLatch ended = new CountDownLatch(1);
+    private final Map<String, Counters.Group> others = new LinkedHashMap<>();
     private long rereads;
     private long unread;
 
@@ -55,6 +58,11 @@
         loop.post(task);
     }
 
+    /** Counters of something beside the protocols, told with theirs; before the start. */
+    public void count(String group, Counters.Group counts) {
+        others.put(group, counts);
+    }
+
     /** All counters by group; on the loop. */
     public Counters counters() {
         Counters counters = new Counters().group("agent", all -> {
@@ -64,6 +72,7 @@
             all.count("not read", unread);
         });
         protocols.forEach(protocol -> protocol.report(counters));
+        others.forEach(counters::group);
         return counters;
     }
 
--- a/src/main/java/honeygap/net/Door.java
+++ b/src/main/java/honeygap/net/Door.java
@@ -12,13 +12,23 @@
 
     static final AttributeKey PEER = new AttributeKey(Door.class, "peer");
 
+    /** The number of a connection for whoever listens in. */
+    private static final AttributeKey NUMBER = new AttributeKey(Door.class, "number");
+
+    private final Loop loop;
     private final Supplier<Peer> comers;
 
     /** Sessions that come without a peer get one from here. */
-    Door(Supplier<Peer> comers) {
+    Door(Loop loop, Supplier<Peer> comers) {
+        this.loop = loop;
         this.comers = comers;
     }
 
+    /** The number of a connection that is listened in on; 0 for others. */
+    static long number(IoSession session) {
+        return session.getAttribute(NUMBER) instanceof Long number ? number : 0;
+    }
+
     private static Peer peer(IoSession session) {
         return (Peer) session.getAttribute(PEER);
     }
@@ -32,11 +42,18 @@
 
     @Override
     public void sessionOpened(IoSession session) {
+        if (loop.tap != null) {
+            session.setAttribute(NUMBER, ++loop.tapped);
+            loop.tap.opened(loop.tapped, session.getLocalAddress(), session.getRemoteAddress(), comers != null);
+        }
         guarded(session, () -> peer(session).opened(session));
     }
 
     @Override
     public void messageReceived(IoSession session, Object message) {
+        if (loop.tap != null) {
+            loop.tap.received(number(session), ((IoBuffer) message).buf());
+        }
         guarded(session, () -> peer(session).received(((IoBuffer) message).buf()));
     }
 
@@ -47,6 +64,9 @@
 
     @Override
     public void sessionClosed(IoSession session) {
+        if (loop.tap != null) {
+            loop.tap.closed(number(session));
+        }
         if (peer(session) != null) {
             Loop.guarded(peer(session)::closed);
         }
--- a/src/main/java/honeygap/net/Gathered.java
+++ b/src/main/java/honeygap/net/Gathered.java
@@ -5,6 +5,7 @@
 import java.nio.channels.GatheringByteChannel;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.buffer.IoBufferWrapper;
+import org.apache.mina.core.session.IoSession;
 
 /** Several slices that go out in one write, in order, none of them copied together. */
 public final class Gathered extends IoBufferWrapper {
@@ -17,7 +18,34 @@
         this.parts = parts;
     }
 
-    int writeTo(GatheringByteChannel channel) throws IOException {
+    int writeTo(GatheringByteChannel channel, Tap tap, IoSession session) throws IOException {
+        if (tap != null) {
+            return writeHeard(channel, tap, Door.number(session));
+        }
+        return write(channel);
+    }
+
+    /** Hands on what has gone out, in slices of its own. */
+    private int writeHeard(GatheringByteChannel channel, Tap tap, long number) throws IOException {
+        ByteBuffer[] slices = new ByteBuffer[parts.length - from];
+        for (int i = 0; i < slices.length; i++) {
+            slices[i] = parts[from + i].duplicate();
+        }
+        int written = write(channel);
+        int left = written;
+        int count = 0;
+        while (left > 0) {
+            ByteBuffer slice = slices[count++];
+            slice.limit(slice.position() + Math.min(left, slice.remaining()));
+            left -= slice.remaining();
+        }
+        if (written > 0) {
+            tap.sent(number, slices, count);
+        }
+        return written;
+    }
+
+    private int write(GatheringByteChannel channel) throws IOException {
         int written = (int) channel.write(parts, from, parts.length - from);
         while (from < parts.length && !parts[from].hasRemaining()) {
             from++;
--- a/src/main/java/honeygap/net/Loop.java
+++ b/src/main/java/honeygap/net/Loop.java
@@ -87,6 +87,7 @@
     private final NioSocketConnector connector;
     private final List<NioSocketAcceptor> acceptors = new ArrayList<>();
     private final long zero = System.nanoTime();
+    private final boolean isEager;
     private long timerCount;
     private int calledOff;
     private long now;
@@ -94,8 +95,17 @@
     private volatile Thread thread;
     private volatile boolean over;
     Turns turns;
+    /** Listens in on all connections; null where nobody does. */
+    Tap tap;
+    long tapped;
 
     public Loop() {
+        this(false);
+    }
+
+    /** An eager loop does not sleep when something is due within two milliseconds: for tools that keep time. */
+    public Loop(boolean isEager) {
+        this.isEager = isEager;
         ExceptionMonitor.setInstance(new ExceptionMonitor() {
             @Override
             public void exceptionCaught(Throwable cause) {
@@ -104,7 +114,7 @@
         });
         pool = new SimpleIoProcessorPool<>(Turns.class, this, 1, null);
         connector = new NioSocketConnector(this::onOwnThread, pool);
-        connector.setHandler(new Door(null));
+        connector.setHandler(new Door(this, null));
         configure(connector.getSessionConfig());
     }
 
@@ -153,6 +163,11 @@
         return now;
     }
 
+    /** Lets somebody listen in on all connections that come up from then on; before the start. */
+    public void tap(Tap tap) {
+        this.tap = tap;
+    }
+
     public void start(Core... cores) {
         this.cores = List.of(cores);
         Thread started = new Thread(this, "loop");
@@ -164,7 +179,7 @@
     public InetSocketAddress listen(InetSocketAddress address, int backlog, Supplier<Peer> comers)
             throws IOException {
         NioSocketAcceptor acceptor = new NioSocketAcceptor(this::onOwnThread, pool);
-        acceptor.setHandler(new Door(comers));
+        acceptor.setHandler(new Door(this, comers));
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(backlog);
         configure(acceptor.getSessionConfig());
@@ -322,6 +337,9 @@
             return IDLE_WAIT_MS;
         }
         long left = timers.peek().at - clock();
+        if (isEager && left < 2 * TENTHS_A_MS) {
+            return 0;
+        }
         return Math.min(IDLE_WAIT_MS, left <= 0 ? 0 : (left + TENTHS_A_MS - 1) / TENTHS_A_MS);
     }
 }
--- a/src/main/java/honeygap/net/Turns.java
+++ b/src/main/java/honeygap/net/Turns.java
@@ -67,7 +67,7 @@
     @Override
     protected int write(NioSession session, IoBuffer bytes, int length) throws IOException {
         return bytes instanceof Gathered gathered
-                ? gathered.writeTo((GatheringByteChannel) session.getAttribute(CHANNEL))
+                ? gathered.writeTo((GatheringByteChannel) session.getAttribute(CHANNEL), loop.tap, session)
                 : super.write(session, bytes, length);
     }
 }
--- /dev/null
+++ b/src/main/java/honeygap/standin/StoreServer.java
@@ -0,0 +1,111 @@
+package honeygap.standin;
+
+import honeygap.capture.make.Morning;
+import honeygap.net.pg.Frames;
+import honeygap.net.pg.Statement;
+import honeygap.net.pg.Words;
+import honeygap.read.Malformed;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** An appliance to try an agent with: answers each statement with the value that goes with its key. */
+public final class StoreServer implements AutoCloseable {
+
+    private final ServerSocket server;
+    private final AtomicLong served = new AtomicLong();
+    private volatile long delayMs;
+
+    /** Port 0 takes any that is free. */
+    public StoreServer(InetSocketAddress address) throws IOException {
+        server = new ServerSocket();
+        server.bind(address, 1024);
+        thread(() -> {
+            while (true) {
+                Socket one = server.accept();
+                one.setTcpNoDelay(true);
+                thread(() -> serve(one));
+            }
+        });
+    }
+
+    private interface Task {
+        void run() throws IOException, Malformed;
+    }
+
+    private static void thread(Task task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (IOException | Malformed e) {
+                // The other side has closed, or can't be understood.
+            }
+        }, "stand-in");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    public InetSocketAddress address() {
+        return (InetSocketAddress) server.getLocalSocketAddress();
+    }
+
+    public long served() {
+        return served.get();
+    }
+
+    public void delay(long ms) {
+        delayMs = ms;
+    }
+
+    private void serve(Socket one) throws IOException, Malformed {
+        try (one) {
+            InputStream in = one.getInputStream();
+            Frames frames = new Frames(1 << 18);
+            Statement statement = new Statement();
+            byte[] buffer = new byte[1 << 14];
+            boolean isStarted = false;
+            for (int many = in.read(buffer); many > 0; many = in.read(buffer)) {
+                frames.feed(ByteBuffer.wrap(buffer.clone(), 0, many));
+                while (isStarted ? frames.next() : frames.nextUntyped(10_000)) {
+                    if (!isStarted) {
+                        isStarted = true;
+                        write(one, Words.welcome());
+                    } else if (frames.type() == 'Q') {
+                        boolean isRead = statement.read(frames.body());
+                        sleep();
+                        served.incrementAndGet();
+                        write(one, isRead ? Morning.row(value(statement.key())) : Words.emptyQuery());
+                    }
+                }
+            }
+        }
+    }
+
+    private static String value(String key) {
+        boolean isOurs = key.matches("[0-9a-f]{16}");
+        return Morning.value(key, isOurs ? 2 * Morning.valueLength(key) : 32);
+    }
+
+    private void sleep() {
+        try {
+            Thread.sleep(delayMs);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void write(Socket one, ByteBuffer bytes) throws IOException {
+        byte[] all = new byte[bytes.remaining()];
+        bytes.duplicate().get(all);
+        one.getOutputStream().write(all);
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+}
