One tool for many agents, first part: doors with ledgers, membership, operations, manager, tool

Need: staff log into each agent; commands must happen once and the report must be true after any trouble. Change: honeygap.manage decides without I/O (accrual suspicion, generations, operations with fences, ledgers); net.door is an agent's listener (off unless named); manage.host the manager with its operations in MVStore; honeygap manage and fleet. Property tests of every reader with a fixed seed; they and the schedules found a late command that was reported as not applied, a gap that carried a stream past its own segment, an empty chunk in the redactor: mended, with tests. TLS, hand-over, health gates and more are not built.

--- /dev/null
+++ b/src/main/antlr4/honeygap/manage/host/Select.g4
@@ -0,0 +1,10 @@
+// Which instances are meant, by their labels: location=east,build<43,name!=a3
+grammar Select;
+
+whole: (part (',' part)*)? EOF;
+
+part: name=WORD sign=('=' | '!=' | '<' | '<=' | '>' | '>=') value=WORD;
+
+WORD: [a-zA-Z0-9_.:/-]+;
+SPACE: [ \t]+ -> skip;
+OTHER: .;
--- a/src/main/java/honeygap/capture/file/CaptureReader.java
+++ b/src/main/java/honeygap/capture/file/CaptureReader.java
@@ -61,6 +61,13 @@
         this.source = source;
         byte[] magic = new byte[4];
         if (source.read(magic, 0, 4) < 4) {
+            if (source.isCut()) {
+                // What was compressed broke off before the first of it was whole.
+                isNg = true;
+                isOver = true;
+                cut = "the compression is cut off before anything of it is whole";
+                return;
+            }
             throw new Spoilt(source.name, 0, "not a capture", "too short for a capture file");
         }
         int big = ByteBuffer.wrap(magic).getInt();
--- a/src/main/java/honeygap/capture/redact/Redactor.java
+++ b/src/main/java/honeygap/capture/redact/Redactor.java
@@ -41,7 +41,7 @@
         int old = held.length;
         held = Arrays.copyOf(held, old + bytes.length);
         System.arraycopy(bytes, 0, held, old, bytes.length);
-        if (kind == Kind.UNKNOWN) {
+        if (kind == Kind.UNKNOWN && held.length > 0) {
             tell();
         }
         int done = 0;
--- a/src/main/java/honeygap/capture/stream/Reassembly.java
+++ b/src/main/java/honeygap/capture/stream/Reassembly.java
@@ -248,7 +248,7 @@
         if (all.first != null && all.second != null || all.early.size() >= MOST_EARLY || segment.has(Segment.RST)) {
             resolve(ends, all);
         }
-        while (early > mostHeldInAll || flows.size() + joining.size() > mostFlows && !joining.isEmpty()) {
+        while (!joining.isEmpty() && (early > mostHeldInAll || flows.size() + joining.size() > mostFlows)) {
             Map.Entry<Ends, Joining> eldest = joining.entrySet().iterator().next();
             resolve(eldest.getKey(), eldest.getValue());
         }
@@ -471,6 +471,11 @@
             while (!way.pieces.reaches(at + length) && way.pieces.held() > 0) {
                 giveUp(way, "gaps beyond the bound");
             }
+            if (way.pieces.base() > base) {
+                // What was held has gone out, perhaps past where this begins: looked at anew. Found by a property test.
+                data(way, segment, seq);
+                return;
+            }
             if (!way.pieces.reaches(at + length)) {
                 // Nothing is held, and the segment lies further on than anything may be held.
                 hole(way, at);
--- /dev/null
+++ b/src/main/java/honeygap/cli/Fleet.java
@@ -0,0 +1,391 @@
+package honeygap.cli;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+import honeygap.manage.host.Selector;
+import honeygap.read.Fields;
+import honeygap.read.Malformed;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.Callable;
+import java.util.function.Predicate;
+import picocli.CommandLine;
+
+/** What staff type. Exit codes: 0 done, 1 ended otherwise or not yet, 2 not understood or not reached, 3 busy. */
+@CommandLine.Command(name = "fleet", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "<what>",
+        description = "See and steer all agents of a manager.", subcommands = {Fleet.ListAgents.class, Fleet.Drain.class,
+            Fleet.Undrain.class, Fleet.Update.class, Fleet.Report.class, Fleet.History.class, Fleet.Cancel.class,
+            Fleet.Resume.class, picocli.AutoComplete.GenerateCompletion.class})
+final class Fleet implements Runnable {
+
+    private static final int OTHERWISE = 1;
+    private static final int NOT_UNDERSTOOD = 2;
+    private static final int BUSY = 3;
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "say what to do, such as list");
+    }
+
+    /** One that asks the manager. */
+    abstract static class Asking implements Callable<Integer> {
+
+        @CommandLine.Spec
+        CommandLine.Model.CommandSpec spec;
+
+        @CommandLine.Option(names = "--manager", defaultValue = "${env:HONEYGAP_MANAGER:-127.0.0.1:18700}",
+                description = "Where the manager is asked (default: HONEYGAP_MANAGER, or 127.0.0.1:18700).")
+        private String manager;
+
+        @CommandLine.Option(names = "--token-file", description = "A file with the manager's token.")
+        private Path tokenFile;
+
+        @CommandLine.Option(names = "--json", description = "As JSON, for programs.")
+        boolean json;
+
+        private int status;
+
+        abstract int run(PrintWriter out) throws IOException, Malformed, InterruptedException;
+
+        @Override
+        public Integer call() {
+            try {
+                return run(spec.commandLine().getOut());
+            } catch (IOException e) {
+                return fail("the manager at " + manager + " does not answer: " + e.getMessage());
+            } catch (Malformed | IllegalArgumentException e) {
+                return fail(e.getMessage());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return OTHERWISE;
+            }
+        }
+
+        private int fail(String words) {
+            spec.commandLine().getErr().println(spec.name() + ": " + words);
+            return NOT_UNDERSTOOD;
+        }
+
+        final int status() {
+            return status;
+        }
+
+        final String ask(String method, String path, String body) throws IOException, InterruptedException {
+            HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + manager + path))
+                    .timeout(Duration.ofSeconds(10)).method(method, body.isEmpty()
+                            ? HttpRequest.BodyPublishers.noBody() : HttpRequest.BodyPublishers.ofString(body));
+            if (tokenFile != null) {
+                request.header("Authorization", "Bearer " + Files.readString(tokenFile).strip());
+            }
+            HttpResponse<String> answer = HttpClient.newHttpClient().send(request.build(),
+                    HttpResponse.BodyHandlers.ofString());
+            status = answer.statusCode();
+            return answer.body();
+        }
+
+        static Fields fields(String words) throws IOException, Malformed {
+            try (JsonParser parser = new JsonFactory().createParser(words)) {
+                return Fields.document(parser);
+            }
+        }
+
+        final Fields heard(String words) throws IOException, Malformed {
+            Fields fields = fields(words);
+            if (status >= 400 && fields.has("error")) {
+                throw new Malformed(fields.text("error"));
+            }
+            return fields;
+        }
+
+        /** A table with columns as wide as what is in them. */
+        static void table(PrintWriter out, List<String[]> rows) {
+            int[] widths = new int[rows.get(0).length];
+            for (String[] row : rows) {
+                for (int i = 0; i < row.length; i++) {
+                    widths[i] = Math.max(widths[i], row[i].length());
+                }
+            }
+            for (String[] row : rows) {
+                StringBuilder line = new StringBuilder();
+                for (int i = 0; i < row.length; i++) {
+                    line.append(row[i]).append(" ".repeat(widths[i] - row[i].length() + 2));
+                }
+                out.println(line.toString().stripTrailing());
+            }
+        }
+
+        static void operation(PrintWriter out, Fields operation) throws Malformed {
+            out.println("operation " + operation.text("id") + " (number " + operation.whole("number") + "): "
+                    + operation.text("action") + ", " + operation.text("state"));
+            List<String[]> rows = new ArrayList<>();
+            rows.add(new String[] {"INSTANCE", "STATE", "GENERATION", "TRIES", "WORD"});
+            for (Fields step : operation.objects("steps")) {
+                rows.add(new String[] {step.text("instance"), step.text("state"), step.text("generation"),
+                    Long.toString(step.whole("tries")), step.text("word")});
+            }
+            table(out, rows);
+        }
+    }
+
+    @CommandLine.Command(name = "list", aliases = "inspect", mixinStandardHelpOptions = true,
+            description = "All agents, or those that a selector takes, and how they stand.")
+    static final class ListAgents extends Asking {
+
+        @CommandLine.Parameters(paramLabel = "SELECTOR", defaultValue = "",
+                description = "By labels, as location=east,build<43 (default: all).")
+        private String selector;
+
+        @Override
+        int run(PrintWriter out) throws IOException, Malformed, InterruptedException {
+            Predicate<Map<String, String>> wanted = Selector.of(selector);
+            String words = ask("GET", "/v1/fleet", "");
+            Fields fleet = heard(words);
+            if (json) {
+                out.println(words);
+                return 0;
+            }
+            List<String[]> rows = new ArrayList<>();
+            rows.add(new String[] {"NAME", "STANDING", "DRAINED", "CLIENTS", "AGE", "RESTARTS", "GENERATION", "FAULT"});
+            boolean isWell = true;
+            for (Fields one : fleet.objects("instances")) {
+                if (wanted.test(labels(one))) {
+                    isWell &= one.text("standing").equals("ALIVE");
+                    rows.add(new String[] {one.text("name"), one.text("standing"), one.flag("drained") ? "yes" : "no",
+                        Long.toString(one.whole("clients")), one.whole("ageMs") + "ms",
+                        Long.toString(one.whole("restarts")), one.text("generation"), one.text("fault")});
+                }
+            }
+            if (fleet.flag("cutOff")) {
+                out.println("the manager hears of too few agents to judge any: it may be cut off itself");
+            }
+            table(out, rows);
+            return isWell ? 0 : OTHERWISE;
+        }
+
+        static Map<String, String> labels(Fields instance) throws Malformed {
+            Map<String, String> labels = new HashMap<>();
+            Fields all = instance.object("labels");
+            for (String name : all.names()) {
+                labels.put(name, all.text(name));
+            }
+            return labels;
+        }
+    }
+
+    /** One that begins an operation and, if asked, waits for its end. */
+    abstract static class Commanding extends Asking {
+
+        @CommandLine.Parameters(paramLabel = "SELECTOR", defaultValue = "",
+                description = "By labels, as location=east,build<43 (default: all).")
+        private String selector;
+
+        @CommandLine.Option(names = "--id", description = "The operation's id; the same id is the same operation.")
+        private String id;
+
+        @CommandLine.Option(names = "--again", description = "Even where the same command was given a moment ago.")
+        private boolean again;
+
+        @CommandLine.Option(names = "--at-once", defaultValue = "1",
+                description = "How many may be on their way or out of service at once (default: 1).")
+        private int atOnce;
+
+        @CommandLine.Option(names = "--failures", defaultValue = "1",
+                description = "Pause after so many that were not applied; 0 is never (default: 1).")
+        private int failures;
+
+        @CommandLine.Option(names = "--within", paramLabel = "SECONDS", defaultValue = "60",
+                description = "What is not sent by then is not sent (default: 60).")
+        private int within;
+
+        @CommandLine.Option(names = "--dry-run", description = "Only say which agents are meant.")
+        private boolean dryRun;
+
+        @CommandLine.Option(names = "--no-wait", description = "Do not wait for the end.")
+        private boolean noWait;
+
+        private final Progress progress = new Progress();
+
+        abstract String action();
+
+        @Override
+        int run(PrintWriter out) throws IOException, Malformed, InterruptedException {
+            Predicate<Map<String, String>> wanted = Selector.of(selector);
+            List<String> names = new ArrayList<>();
+            for (Fields one : heard(ask("GET", "/v1/fleet", "")).objects("instances")) {
+                if (wanted.test(ListAgents.labels(one))) {
+                    names.add(one.text("name"));
+                }
+            }
+            if (names.isEmpty()) {
+                throw new Malformed("no agent is meant by " + (selector.isEmpty() ? "nothing" : selector));
+            }
+            if (dryRun) {
+                out.println("would " + action() + ": " + String.join(", ", names));
+                return 0;
+            }
+            String begun = ask("POST", "/v1/operations", "{\"id\":\"" + new String(JsonStringEncoder.getInstance()
+                    .quoteAsString(id == null ? UUID.randomUUID().toString() : id)) + "\",\"action\":\"" + action()
+                    + "\",\"argument\":\"\",\"instances\":\"" + String.join(",", names) + "\",\"atOnce\":" + atOnce
+                    + ",\"failuresToPause\":" + failures + ",\"withinMs\":" + 1000L * within + ",\"again\":" + again + "}");
+            Fields taken = heard(begun);
+            Fields operation = taken.object("operation");
+            switch (taken.text("taken")) {
+                case "BUSY":
+                    spec.commandLine().getErr().println(spec.name() + ": operation " + operation.text("id") + " ("
+                            + operation.text("action") + ") has some of these agents in hand; wait for it or cancel it");
+                    return BUSY;
+                case "INVALID":
+                    throw new Malformed("the id " + id + " is another command's");
+                case "SAME":
+                    out.println("the same command is operation " + operation.text("id") + " already");
+                    break;
+                default:
+                    break;
+            }
+            String words = "";
+            while (!noWait && isOpen(operation)) {
+                Thread.sleep(100);
+                words = ask("GET", "/v1/operations/" + operation.text("id"), "");
+                operation = heard(words);
+                progress.now(operation.text("action") + ": " + ended(operation) + " of " + names.size());
+            }
+            progress.end();
+            if (json) {
+                out.println(words.isEmpty() ? begun : words);
+            } else {
+                operation(out, operation);
+            }
+            return operation.text("state").equals("DONE") ? 0 : OTHERWISE;
+        }
+
+        private static long ended(Fields operation) throws Malformed {
+            long ended = 0;
+            for (Fields step : operation.objects("steps")) {
+                ended += List.of("APPLIED", "NOT_APPLIED").contains(step.text("state")) ? 1 : 0;
+            }
+            return ended;
+        }
+
+        private static boolean isOpen(Fields operation) throws Malformed {
+            return List.of("RUNNING", "CANCELLING").contains(operation.text("state"));
+        }
+    }
+
+    @CommandLine.Command(name = "drain", mixinStandardHelpOptions = true,
+            description = "Agents take no more clients and close connections between RPCs.")
+    static final class Drain extends Commanding {
+
+        @Override
+        String action() {
+            return "drain";
+        }
+    }
+
+    @CommandLine.Command(name = "undrain", mixinStandardHelpOptions = true, description = "Agents take clients again.")
+    static final class Undrain extends Commanding {
+
+        @Override
+        String action() {
+            return "undrain";
+        }
+    }
+
+    @CommandLine.Command(name = "update", mixinStandardHelpOptions = true,
+            description = "Agents read their files again, as on SIGHUP.")
+    static final class Update extends Commanding {
+
+        @Override
+        String action() {
+            return "update";
+        }
+    }
+
+    /** One on an operation by its id. */
+    abstract static class OnOperation extends Asking {
+
+        @CommandLine.Parameters(paramLabel = "ID")
+        private String id;
+
+        abstract String then();
+
+        @Override
+        int run(PrintWriter out) throws IOException, Malformed, InterruptedException {
+            String words = ask(then().isEmpty() ? "GET" : "POST", "/v1/operations/" + id + then(), "");
+            Fields operation = heard(words);
+            if (json) {
+                out.println(words);
+            } else {
+                operation(out, operation);
+            }
+            return operation.text("state").equals("DONE") || !then().isEmpty() ? 0 : OTHERWISE;
+        }
+    }
+
+    @CommandLine.Command(name = "report", mixinStandardHelpOptions = true,
+            description = "What became of an operation at each agent.")
+    static final class Report extends OnOperation {
+
+        @Override
+        String then() {
+            return "";
+        }
+    }
+
+    @CommandLine.Command(name = "cancel", mixinStandardHelpOptions = true,
+            description = "Call an operation off: what is not sent is not, what is on its way is fenced.")
+    static final class Cancel extends OnOperation {
+
+        @Override
+        String then() {
+            return "/cancel";
+        }
+    }
+
+    @CommandLine.Command(name = "resume", mixinStandardHelpOptions = true,
+            description = "Let an operation go on that was paused by failures.")
+    static final class Resume extends OnOperation {
+
+        @Override
+        String then() {
+            return "/resume";
+        }
+    }
+
+    @CommandLine.Command(name = "history", mixinStandardHelpOptions = true, description = "All operations kept.")
+    static final class History extends Asking {
+
+        @Override
+        int run(PrintWriter out) throws IOException, Malformed, InterruptedException {
+            String words = ask("GET", "/v1/operations", "");
+            Fields all = heard(words);
+            if (json) {
+                out.println(words);
+                return 0;
+            }
+            List<String[]> rows = new ArrayList<>();
+            rows.add(new String[] {"NUMBER", "ACTION", "STATE", "INSTANCES", "ID"});
+            for (Fields one : all.objects("operations")) {
+                rows.add(new String[] {Long.toString(one.whole("number")), one.text("action"), one.text("state"),
+                    Integer.toString(one.objects("steps").size()), one.text("id")});
+            }
+            table(out, rows);
+            return 0;
+        }
+    }
+}
--- a/src/main/java/honeygap/cli/Main.java
+++ b/src/main/java/honeygap/cli/Main.java
@@ -12,7 +12,8 @@
         synopsisSubcommandLabel = "<subcommand>",
         description = "A proxy that tries out new builds on live traffic.",
         subcommands = {Serve.class, Check.class, Render.class, Standin.class,
-            CaptureCommand.class, Replay.class, VersionCommand.class})
+            CaptureCommand.class, Replay.class, Manage.class, Fleet.class,
+            VersionCommand.class})
 public final class Main implements Runnable {
 
     @CommandLine.Spec
--- /dev/null
+++ b/src/main/java/honeygap/cli/Manage.java
@@ -0,0 +1,47 @@
+package honeygap.cli;
+
+import honeygap.manage.host.FleetSheet;
+import honeygap.manage.host.Manager;
+import honeygap.read.Malformed;
+import honeygap.read.Template;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import org.tinylog.Logger;
+import picocli.CommandLine;
+
+@CommandLine.Command(name = "manage", mixinStandardHelpOptions = true,
+        description = "Run the managing agent: it polls the doors of its agents and carries out operations on them.")
+final class Manage implements Callable<Integer> {
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @CommandLine.Option(names = "--fleet", paramLabel = "FILE", required = true,
+            description = "The agents, as Jsonnet; docs/manage.md has the fields.")
+    private Path fleet;
+
+    @Override
+    public Integer call() throws InterruptedException {
+        try {
+            FleetSheet sheet = FleetSheet.of(Template.read(fleet));
+            String token = sheet.tokenFile.isEmpty() ? "" : Files.readString(Path.of(sheet.tokenFile)).strip();
+            Manager manager = new Manager(sheet, token);
+            Runtime.getRuntime().addShutdownHook(new Thread(manager::close, "leaving"));
+            manager.start();
+            Logger.info("manages {} agents, asked at {}", sheet.instances.size(), manager.address());
+            new CountDownLatch(1).await();
+            return 0;
+        } catch (Malformed e) {
+            e.getMessage().lines().forEach(line -> spec.commandLine().getErr().println("manage: " + fleet + ": " + line));
+        } catch (NoSuchFileException e) {
+            spec.commandLine().getErr().println("manage: " + e.getFile() + ": no such file");
+        } catch (IOException | IllegalStateException e) {
+            spec.commandLine().getErr().println("manage: " + e.getMessage());
+        }
+        return 2;
+    }
+}
--- a/src/main/java/honeygap/cli/Serve.java
+++ b/src/main/java/honeygap/cli/Serve.java
@@ -4,11 +4,15 @@
 import honeygap.capture.tape.Recorder;
 import honeygap.net.Agent;
 import honeygap.net.Loop;
+import honeygap.net.door.Door;
+import honeygap.read.Malformed;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.lang.reflect.Proxy;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.util.concurrent.CountDownLatch;
 import org.tinylog.Logger;
 import picocli.CommandLine;
@@ -40,10 +44,23 @@
             description = "Hide keys and values in captures, as hashes with the secret in this file.")
     private Path redact;
 
+    @CommandLine.Option(names = "--door", paramLabel = "ADDRESS",
+            description = "Listen there for a manager (off unless named); loopback alone without --door-token.")
+    private String door;
+
+    @CommandLine.Option(names = "--door-token", paramLabel = "FILE", description = "A file with the token it must show.")
+    private Path doorToken;
+
+    @CommandLine.Option(names = "--ledger", paramLabel = "FILE", defaultValue = "honeygap-ledger.jsonl",
+            description = "Where commands that were carried out are kept (default: honeygap-ledger.jsonl).")
+    private Path ledger;
+
     private Recorder recorder;
+    private Loop loop;
 
     @Override
     void made(Loop loop) throws IOException {
+        this.loop = loop;
         if (record != null) {
             Mask mask = redact == null ? null : new Mask(Files.readAllBytes(redact));
             recorder = new Recorder(record, "agent", recordSize << 20, recordAge * 1_000_000_000L, recordFiles, RING,
@@ -53,12 +70,32 @@
     }
 
     @Override
-    void run(Agent agent, PrintWriter out) throws IOException, InterruptedException {
+    void run(Agent agent, PrintWriter out) throws IOException, Malformed, InterruptedException {
         onHangUp(() -> agent.reread(sources()));
         if (recorder != null) {
             agent.count("recording", recorder);
         }
+        Door opened = null;
+        if (door != null) {
+            String token = doorToken == null ? "" : Files.readString(doorToken).strip();
+            String name = told() != null && told().has("name") ? told().text("name") : sheet() != null ? sheet().name : "";
+            // Another process is another generation, also on a machine whose clock stands still.
+            long generation = new SecureRandom().nextLong() & Long.MAX_VALUE | 1;
+            // Files are read beside the loop, which goes on serving.
+            opened = new Door(loop, agent, name, ledger, token, generation,
+                    () -> new Thread(() -> agent.reread(sources()), "rereading").start());
+            agent.count("door", opened);
+        }
         agent.start();
+        if (opened != null) {
+            int colon = door.lastIndexOf(':');
+            try {
+                opened.listen(new InetSocketAddress(door.substring(0, Math.max(0, colon)),
+                        Integer.parseInt(door.substring(colon + 1))));
+            } catch (NumberFormatException e) {
+                throw new Malformed("not an address: " + door);
+            }
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 agent.leave();
--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -24,6 +24,7 @@
     private final List<InetSocketAddress> bound = new ArrayList<>();
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Map<String, Counters.Group> others = new LinkedHashMap<>();
+    private boolean isDrained;
     private long rereads;
     private long unread;
 
@@ -106,6 +107,21 @@
         });
     }
 
+    /** Takes no clients and closes connections between RPCs, or takes them again; on the loop. */
+    public void drain(boolean isDrained) {
+        this.isDrained = isDrained;
+        protocols.forEach(protocol -> protocol.drain(isDrained));
+    }
+
+    public boolean isDrained() {
+        return isDrained;
+    }
+
+    /** Connections of clients, of all protocols. */
+    public int clients() {
+        return protocols.stream().mapToInt(Protocol::count).sum();
+    }
+
     /** Serves on until nothing that was taken is open; comes back then. */
     public void leave() throws InterruptedException {
         loop.post(() -> {
--- a/src/main/java/honeygap/net/Flags.java
+++ b/src/main/java/honeygap/net/Flags.java
@@ -151,6 +151,11 @@
         askers.leave();
     }
 
+    @Override
+    public void drain(boolean isDrained) {
+        askers.drain(isDrained);
+    }
+
     @Override
     public int count() {
         return askers.count();
--- a/src/main/java/honeygap/net/Front.java
+++ b/src/main/java/honeygap/net/Front.java
@@ -9,6 +9,9 @@
     /** From now on connections are closed between RPCs. */
     void leave();
 
+    /** Takes nobody and closes connections between RPCs, or takes them again. */
+    void drain(boolean isDrained);
+
     /** How many connections there are. */
     int count();
 }
--- a/src/main/java/honeygap/net/Protocol.java
+++ b/src/main/java/honeygap/net/Protocol.java
@@ -23,6 +23,9 @@
     /** From now on connections are closed between RPCs. */
     void leave();
 
+    /** Takes no clients and closes connections between RPCs, or takes them again. */
+    void drain(boolean isDrained);
+
     /** How many clients are connected. */
     int count();
 }
--- a/src/main/java/honeygap/net/Queries.java
+++ b/src/main/java/honeygap/net/Queries.java
@@ -123,6 +123,11 @@
         clients.leave();
     }
 
+    @Override
+    public void drain(boolean isDrained) {
+        clients.drain(isDrained);
+    }
+
     @Override
     public int count() {
         return clients.count();
--- a/src/main/java/honeygap/net/askers/Askers.java
+++ b/src/main/java/honeygap/net/askers/Askers.java
@@ -81,6 +81,11 @@
         guests.leave();
     }
 
+    @Override
+    public void drain(boolean isDrained) {
+        guests.drain(isDrained);
+    }
+
     @Override
     public int count() {
         return guests.count();
--- a/src/main/java/honeygap/net/clients/Clients.java
+++ b/src/main/java/honeygap/net/clients/Clients.java
@@ -127,6 +127,11 @@
         guests.leave();
     }
 
+    @Override
+    public void drain(boolean isDrained) {
+        guests.drain(isDrained);
+    }
+
     @Override
     public int count() {
         return guests.count();
--- a/src/main/java/honeygap/net/guests/Guests.java
+++ b/src/main/java/honeygap/net/guests/Guests.java
@@ -20,6 +20,7 @@
     private final Set<Guest> waitedFor = new LinkedHashSet<>();
     private Loop.Timer sweep;
     private boolean leaving;
+    private boolean drained;
     private long tooLong;
     private long madeRoom;
     private long crowded;
@@ -72,10 +73,21 @@
         }
     }
 
-    /** Whether the one that asks is one too many; counted. */
+    /** Whether the one that asks is one too many, or comes while nobody is taken; counted. */
     public boolean isFull() {
-        full += here.size() > most ? 1 : 0;
-        return here.size() > most;
+        boolean isFull = here.size() > most || drained;
+        full += isFull ? 1 : 0;
+        return isFull;
+    }
+
+    /** Takes nobody and closes connections between RPCs, or takes them again. */
+    public void drain(boolean isDrained) {
+        drained = isDrained;
+        if (isDrained) {
+            leave();
+        } else {
+            leaving = false;
+        }
     }
 
     void idle(Guest guest, boolean isIdle) {
--- a/src/main/java/honeygap/net/links/Link.java
+++ b/src/main/java/honeygap/net/links/Link.java
@@ -141,11 +141,16 @@
         try {
             read(bytes);
         } catch (Malformed e) {
-            all.unreadable();
+            unreadable(e);
             end(handedOver ? Pick.RESET : Pick.CONNECT_FAILED);
         }
     }
 
+    /** An answer on it can't be read. */
+    protected final void unreadable(Malformed why) {
+        all.unreadable(call, index, remote, why.getMessage());
+    }
+
     /**
      * Whether it still rests, with nothing come that nobody asked for, read or not. Guards against a second
      * copy or noise behind an answer, which would be taken for the answer of the next pick.
--- a/src/main/java/honeygap/net/links/Links.java
+++ b/src/main/java/honeygap/net/links/Links.java
@@ -6,6 +6,7 @@
 import honeygap.net.Back;
 import honeygap.net.Call;
 import honeygap.net.Counters;
+import honeygap.net.Events;
 import honeygap.net.Loop;
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -18,6 +19,8 @@
 
     /** Part of the time that appliances keep an idle connection for which this agent does. */
     private static final double KEPT = 0.8;
+    /** Tenths of a millisecond between two lines in the log on what can't be read. */
+    private static final long TOLD_EVERY = 10_000;
 
     final Loop loop;
     private final Rules rules;
@@ -29,6 +32,7 @@
     private final Set<Link> links = new LinkedHashSet<>();
     private final long[] outcomes = new long[8];
     private long unreadable;
+    private long toldAt = Long.MIN_VALUE / 2;
     private long unquiet;
     private long opened;
 
@@ -155,9 +159,14 @@
         loop.gather(() -> rules.ended(call, index, outcome, closed, lag));
     }
 
-    /** An answer could not be read; counted. */
-    public void unreadable() {
+    /** An answer could not be read: counted, and told now and then with the pick that it was for. */
+    void unreadable(Call call, int pick, Remote remote, String why) {
         unreadable++;
+        if (loop.now() >= toldAt + TOLD_EVERY) {
+            toldAt = loop.now();
+            Events.pick(call == null ? "none" : call.id, call == null ? -1 : pick, remote.id, remote.address
+                    + " sent what can't be read: " + why);
+        }
     }
 
     @Override
--- a/src/main/java/honeygap/net/servers/Server.java
+++ b/src/main/java/honeygap/net/servers/Server.java
@@ -159,7 +159,7 @@
         try {
             return ask.served(remote, status, Arrays.copyOf(body, length));
         } catch (Malformed e) {
-            all.unreadable();
+            unreadable(e);
             return Pick.ERROR;
         }
     }
--- a/src/main/java/honeygap/read/Sheet.java
+++ b/src/main/java/honeygap/read/Sheet.java
@@ -165,6 +165,20 @@
         return parts;
     }
 
+    /** All fields of a part whose names are the operator's own, each as text. */
+    public void each(java.util.function.BiConsumer<String, String> fields) {
+        for (String name : this.fields.names()) {
+            read.add(name);
+            Object there = this.fields.value(name);
+            if (there instanceof String || there instanceof Number || there instanceof Boolean) {
+                boolean isWhole = there instanceof Double number && number == Math.rint(number);
+                fields.accept(name, isWhole ? Long.toString(((Double) there).longValue()) : there.toString());
+            } else {
+                fault(name, "text or a number");
+            }
+        }
+    }
+
     private interface Reading<T> {
 
         T read() throws Malformed;
--- a/src/test/java/honeygap/ArchitectureTest.java
+++ b/src/test/java/honeygap/ArchitectureTest.java
@@ -31,9 +31,21 @@
                 .resideInAnyPackage("honeygap", "honeygap.flags..", "honeygap.net..", "honeygap.read..").check(ALL);
     }
 
+    /** What becomes of segments, operations and replayed RPCs is decided without files and sockets. */
+    @Test
+    void otherDecisionsKnowNoHosts() {
+        noClasses().that().resideInAPackage("honeygap.manage").should().dependOnClassesThat().resideInAnyPackage(IO)
+                .check(ALL);
+        noClasses().that().resideInAPackage("honeygap.capture.stream..").or()
+                .haveFullyQualifiedName("honeygap.capture.replay.Plan").should().dependOnClassesThat()
+                .resideInAnyPackage(IO).check(ALL);
+        noClasses().that().resideInAPackage("honeygap.net..").or().resideInAPackage("honeygap.read..").should()
+                .dependOnClassesThat().resideInAPackage("honeygap.capture..").check(ALL);
+    }
+
     @Test
     void decisionsReadNoClockAndNoChance() {
-        noClasses().that().resideInAnyPackage("honeygap", "honeygap.flags..").should().callMethod(System.class,
+        noClasses().that().resideInAnyPackage("honeygap", "honeygap.flags..", "honeygap.capture.stream..").should().callMethod(System.class,
                 "nanoTime").orShould().callMethod(System.class, "currentTimeMillis").orShould()
                 .dependOnClassesThat().haveFullyQualifiedName("java.util.Random").check(ALL);
     }
--- /dev/null
+++ b/src/test/java/honeygap/FuzzTest.java
@@ -0,0 +1,295 @@
+package honeygap;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import honeygap.capture.file.CaptureReader;
+import honeygap.capture.file.Packet;
+import honeygap.capture.file.Spoilt;
+import honeygap.capture.message.Conversation;
+import honeygap.capture.message.HttpConversation;
+import honeygap.capture.message.PgConversation;
+import honeygap.capture.message.Spoken;
+import honeygap.capture.packet.Address;
+import honeygap.capture.packet.Decoder;
+import honeygap.capture.packet.Segment;
+import honeygap.capture.query.Filter;
+import honeygap.capture.redact.Mask;
+import honeygap.capture.redact.Redactor;
+import honeygap.capture.stream.Reassembly;
+import honeygap.net.http.Answers;
+import honeygap.net.http.Refusal;
+import honeygap.net.http.Requests;
+import honeygap.net.ofrep.Bodies;
+import honeygap.read.Malformed;
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
+
+/**
+ * Whatever comes in, a reader gives what it read or one error that says where, and nothing else; jqwik prints the seed
+ * of a run that does not hold and makes its input small.
+ */
+class FuzzTest {
+
+    /** The same inputs each time; another number hunts for more. */
+    private static final String SEED = "20261201";
+
+    private static final byte[][] BEGINNINGS = {
+        {(byte) 0xd4, (byte) 0xc3, (byte) 0xb2, (byte) 0xa1, 2, 0, 4, 0, 0, 0, 0, 0, 0, 0, 0, 0, -1, -1, 0, 0, 101, 0, 0, 0},
+        {0x0a, 0x0d, 0x0d, 0x0a, 28, 0, 0, 0, 0x4d, 0x3c, 0x2b, 0x1a, 1, 0, 0, 0, -1, -1, -1, -1, -1, -1, -1, -1, 28, 0,
+            0, 0, 1, 0, 0, 0, 20, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 20, 0, 0, 0},
+        {0x1f, (byte) 0x8b, 8, 0}, {0x28, (byte) 0xb5, 0x2f, (byte) 0xfd}, {}};
+
+    /** Bytes that are small numbers or anything, so that lengths come out near what is there. */
+    @Provide
+    Arbitrary<byte[]> bytes() {
+        Arbitrary<Byte> one = Arbitraries.frequencyOf(Tuple.of(3, Arbitraries.bytes().between((byte) 0, (byte) 40)),
+                Tuple.of(1, Arbitraries.bytes()));
+        return one.array(byte[].class).ofMaxSize(300);
+    }
+
+    @Provide
+    Arbitrary<byte[]> captures() {
+        return Combinators.combine(Arbitraries.of(BEGINNINGS), bytes()).as((begin, rest) -> {
+            byte[] whole = java.util.Arrays.copyOf(begin, begin.length + rest.length);
+            System.arraycopy(rest, 0, whole, begin.length, rest.length);
+            return whole;
+        });
+    }
+
+    @Property(tries = 4000, seed = SEED)
+    void files(@ForAll("captures") byte[] bytes) throws IOException {
+        try (CaptureReader reader = new CaptureReader("file", new ByteArrayInputStream(bytes))) {
+            Packet packet = new Packet();
+            Decoder decoder = new Decoder();
+            Segment segment = new Segment();
+            Reassembly reassembly = new Reassembly();
+            while (reader.next(packet)) {
+                assertTrue(packet.length <= bytes.length);
+                if (decoder.read(packet, segment)) {
+                    reassembly.take(segment);
+                }
+            }
+        } catch (Spoilt e) {
+            assertTrue(e.getMessage().startsWith("file: byte "), e.getMessage());
+        }
+    }
+
+    @Property(tries = 4000, seed = SEED)
+    void packets(@ForAll("bytes") byte[] bytes, @ForAll("links") int link) {
+        Packet packet = new Packet();
+        packet.link = link;
+        packet.data = bytes;
+        packet.length = bytes.length;
+        Segment segment = new Segment();
+        if (new Decoder().read(packet, segment)) {
+            assertTrue(segment.start + segment.length <= bytes.length && segment.length <= segment.sent);
+        }
+    }
+
+    @Provide
+    Arbitrary<Integer> links() {
+        return Arbitraries.of(0, 1, 12, 101, 108, 113, 228, 229, 276, 999);
+    }
+
+    /** Segments of one connection with any numbers: no byte is held for ever, none is handed on twice. */
+    @Property(tries = 1000, seed = SEED)
+    void segments(@ForAll("seeds") long seed) {
+        java.util.Random random = new java.util.Random(seed);
+        Reassembly reassembly = new Reassembly(2048, 4096, 4, 1000, 5000);
+        long[] seen = new long[1];
+        Reassembly.Out out = new Reassembly.Out() {
+            @Override
+            public void opened(Reassembly.Flow flow, long at) {
+            }
+
+            @Override
+            public void data(Reassembly.Flow flow, boolean isClient, byte[] data, long at) {
+                seen[0] += data.length;
+            }
+
+            @Override
+            public void hole(Reassembly.Flow flow, boolean isClient, long length, long at) {
+                assertTrue(length > 0);
+            }
+
+            @Override
+            public void closed(Reassembly.Flow flow, Reassembly.End how, long at) {
+            }
+        };
+        long sent = 0;
+        for (int i = 0; i < 200; i++) {
+            Segment segment = new Segment();
+            boolean isUp = random.nextBoolean();
+            Address client = Address.four(1, 1000 + random.nextInt(2));
+            Address server = Address.four(2, 80);
+            segment.from = isUp ? client : server;
+            segment.to = isUp ? server : client;
+            segment.seq = random.nextInt(10) == 0 ? random.nextInt() : random.nextInt(6000) - 500;
+            segment.ack = random.nextInt(10) == 0 ? random.nextInt() : random.nextInt(6000) - 500;
+            segment.flags = random.nextInt(4) == 0 ? random.nextInt(32) : Segment.ACK;
+            segment.data = new byte[random.nextInt(300)];
+            segment.length = segment.data.length;
+            segment.sent = segment.length + (random.nextInt(8) == 0 ? 100 : 0);
+            segment.at = 100L * i - random.nextInt(300);
+            sent += segment.length;
+            reassembly.take(segment);
+            while (reassembly.next(out)) {
+                continue;
+            }
+            assertTrue(reassembly.held() <= 4096 + 64 * 300, "held " + reassembly.held());
+        }
+        reassembly.end();
+        while (reassembly.next(out)) {
+            continue;
+        }
+        assertTrue(seen[0] <= sent && reassembly.held() == 0 && reassembly.flows() == 0);
+    }
+
+    @Provide
+    Arbitrary<Long> seeds() {
+        return Arbitraries.longs();
+    }
+
+    /** Any chunks on both sides, holes among them: no RPC is told of twice, nothing is thrown. */
+    @Property(tries = 2000, seed = SEED)
+    void conversations(@ForAll("chunks") List<byte[]> chunks, @ForAll boolean isHttp, @ForAll boolean isWhole) {
+        Map<Spoken, Integer> heard = new HashMap<>();
+        Map<String, Long> counts = new HashMap<>();
+        Conversation.Hearer hearer = spoken -> heard.merge(spoken, 1, Integer::sum);
+        Conversation conversation = isHttp ? new HttpConversation(isWhole, Spoken::new, hearer, counts)
+                : new PgConversation(isWhole, Spoken::new, hearer, counts);
+        int i = 0;
+        for (byte[] chunk : chunks) {
+            if (chunk.length % 7 == 3) {
+                conversation.hole(i % 2 == 0, 10);
+            }
+            conversation.data(i++ % 2 == 0, chunk, i);
+        }
+        conversation.over();
+        assertTrue(heard.values().stream().allMatch(times -> times == 1));
+    }
+
+    @Provide
+    Arbitrary<List<byte[]>> chunks() {
+        return Arbitraries.frequencyOf(Tuple.of(2, bytes()), Tuple.of(3, words())).list().ofMaxSize(12);
+    }
+
+    /** Pieces of what is said in both protocols. */
+    @Provide
+    Arbitrary<byte[]> words() {
+        String query = "SELECT content FROM kv WHERE name = 'ab' /* id=i,c=look,t=a,d=5 */\0";
+        ByteBuffer statement = ByteBuffer.allocate(5 + query.length()).put((byte) 'Q').putInt(4 + query.length())
+                .put(query.getBytes(StandardCharsets.US_ASCII));
+        return Arbitraries.of(statement.array(), new byte[] {'Z', 0, 0, 0, 5, 'I'}, new byte[] {'C', 0, 0, 0, 6, 'x', 0},
+                new byte[] {0, 0, 0, 8, 0, 3, 0, 0}, new byte[] {'E', 0, 0, 0, 12, 'C', '5', '3', '3', '0', '0', 0, 0},
+                ascii("POST /ofrep/v1/evaluate/flags/a HTTP/1.1\r\nHost: x\r\nContent-Length: 14\r\n\r\n{\"context\":{}}"),
+                ascii("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"),
+                ascii("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"),
+                ascii("Transfer-Encoding: chunked\r\n"), ascii("\r\n\r\n"), ascii("Content-Length: 99\r\n"));
+    }
+
+    private static byte[] ascii(String words) {
+        return words.getBytes(StandardCharsets.US_ASCII);
+    }
+
+    /** Requests and answers of HTTP in any pieces: read, turned down with a status, or waited for within bounds. */
+    @Property(tries = 3000, seed = SEED)
+    void http(@ForAll("chunks") List<byte[]> chunks) {
+        Requests requests = new Requests(1000);
+        try {
+            for (byte[] chunk : chunks) {
+                requests.feed(ByteBuffer.wrap(chunk));
+                while (requests.next()) {
+                    assertTrue(requests.body().length <= 1000 && requests.target().startsWith("/"));
+                }
+            }
+        } catch (Refusal e) {
+            assertTrue(e.status >= 400 && e.status < 600 && !e.kind.isEmpty());
+        }
+        try {
+            Answers answers = new Answers(new Answers.Reader() {
+                @Override
+                public void head(int status) {
+                }
+
+                @Override
+                public void data(ByteBuffer bytes) {
+                }
+
+                @Override
+                public void end() {
+                }
+            });
+            for (byte[] chunk : chunks) {
+                answers.feed(ByteBuffer.wrap(chunk));
+            }
+        } catch (Malformed e) {
+            assertTrue(!e.getMessage().isEmpty());
+        }
+    }
+
+    /** A redactor hands on as many bytes as came, whatever they are; behind a hole all is black. */
+    @Property(tries = 2000, seed = SEED)
+    void redactor(@ForAll("chunks") List<byte[]> chunks, @ForAll boolean isClient, @ForAll boolean isWhole) {
+        Redactor redactor = new Redactor(new Mask(new byte[] {1}), isClient, isWhole);
+        int in = 0;
+        int out = 0;
+        for (byte[] chunk : chunks) {
+            in += chunk.length;
+            out += redactor.take(chunk).length;
+            assertTrue(out <= in);
+        }
+        out += redactor.lose().length;
+        assertTrue(in == out, in + " came, " + out + " went");
+        for (byte one : redactor.take(new byte[] {'a', 'b'})) {
+            assertTrue(one == 'x');
+        }
+    }
+
+    @Property(tries = 3000, seed = SEED)
+    void bodies(@ForAll("json") String words) {
+        try {
+            Bodies.subject(words.getBytes(StandardCharsets.UTF_8));
+        } catch (Refusal e) {
+            assertTrue(e.status == 400 && !e.getMessage().isEmpty());
+        }
+        byte[] bytes = words.getBytes(StandardCharsets.UTF_8);
+        int length = bytes.length;
+        new Mask(new byte[] {1}).hideJson(bytes, 0, length);
+        assertTrue(bytes.length == length);
+    }
+
+    @Provide
+    Arbitrary<String> json() {
+        return Arbitraries.of("{", "}", "[", "]", "\"context\"", "\"targetingKey\"", "\"a\"", ":", ",", "1", "-2.5e3", "null",
+                "true", "\\", "\"", "\\u00e9", "\u00e9", " ").list().ofMaxSize(25).map(all -> String.join("", all));
+    }
+
+    /** Filters of any words: a filter, or an error with a column within it. */
+    @Property(tries = 3000, seed = SEED)
+    void filters(@ForAll("filterWords") String words) {
+        try {
+            Filter.of(words);
+        } catch (Filter.Unread e) {
+            assertTrue(e.column >= 1 && e.column <= words.length() + 1, e.getMessage());
+        }
+    }
+
+    @Provide
+    Arbitrary<String> filterWords() {
+        return Arbitraries.of("method", "took", "served", "and", "or", "not", "(", ")", "==", "<", "~", "in", ",", "\"a\"", "\"",
+                "20ms", "5", "-1", "5x", "\\", "$", "\n").list().ofMaxSize(10).map(all -> String.join(" ", all));
+    }
+}
--- a/src/test/java/honeygap/capture/RoundTripTest.java
+++ b/src/test/java/honeygap/capture/RoundTripTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
 import com.github.luben.zstd.ZstdInputStream;
 import honeygap.capture.file.CaptureReader;
 import honeygap.capture.file.CaptureWriter;
@@ -20,15 +22,20 @@
 import honeygap.capture.tape.Ring;
 import honeygap.net.Agent;
 import honeygap.net.Counters;
+import honeygap.net.Flags;
 import honeygap.net.Loop;
 import honeygap.net.Queries;
 import honeygap.read.Fields;
+import honeygap.read.FlagSheet;
+import honeygap.standin.FlagServer;
 import honeygap.standin.StoreServer;
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonParser;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -403,4 +410,51 @@
         assertTrue(put > 1000);
         assertFalse(ring.offer(1, 1, 1, ByteBuffer.allocate(5000)), "longer than the ring");
     }
+
+    /** Flags in the tape: evaluations with their kinds, keys and answers, twice; hidden ones without what they held. */
+    @ParameterizedTest
+    @CsvSource({"false", "true"})
+    void flagsRecorded(boolean isHidden) throws Exception {
+        FlagServer server;
+        try (java.io.InputStream in = getClass().getResourceAsStream("/flags.json");
+                JsonParser parser = new JsonFactory().createParser(in)) {
+            server = new FlagServer(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), Fields.document(parser));
+        }
+        Loop loop = new Loop();
+        recorder = new Recorder(folder.resolve("tape"), "agent", 1 << 30, 3600 * SECOND, 3, 8 << 20,
+                isHidden ? new Mask(new byte[] {9}) : null);
+        loop.tap(recorder);
+        String sheet = "{'listen':'127.0.0.1:0','servers':[{'name':'s','address':'127.0.0.1:"
+                + server.address().getPort() + "'}]}";
+        Fields told;
+        try (JsonParser parser = new JsonFactory().createParser(sheet.replace('\'', '"'))) {
+            told = Fields.document(parser);
+        }
+        agent = new Agent(loop, List.of(new Flags(loop, FlagSheet.of(told), 1)));
+        agent.start();
+        HttpClient http = HttpClient.newHttpClient();
+        String base = "http://127.0.0.1:" + agent.address(0).getPort() + "/ofrep/v1/";
+        String[] paths = {"evaluate/flags/banner", "evaluate/flags", "evaluate/flags/nowhere", "track"};
+        for (String path : paths) {
+            for (int i = 0; i < 5; i++) {
+                http.send(HttpRequest.newBuilder(URI.create(base + path)).version(HttpClient.Version.HTTP_1_1)
+                        .header("Content-Type", "application/json").header("Authorization", "Bearer tomato" + i)
+                        .POST(HttpRequest.BodyPublishers.ofString("{\"context\":{\"targetingKey\":\"sherpa" + i
+                                + "\"}}")).build(), HttpResponse.BodyHandlers.ofString());
+            }
+        }
+        agent.end();
+        recorder.close();
+        server.close();
+        Map<String, Integer> kinds = new java.util.TreeMap<>();
+        for (Spoken one : read(tape())) {
+            kinds.merge(one.method + " " + one.outcome + " " + one.code, 1, Integer::sum);
+            assertEquals(!isHidden, new String(one.request, StandardCharsets.ISO_8859_1).contains("sherpa"));
+            assertEquals(!isHidden, new String(one.request, StandardCharsets.ISO_8859_1).contains("tomato"));
+            assertEquals(!isHidden && one.code.equals("200") && !one.method.equals("track"),
+                    new String(one.answer, StandardCharsets.ISO_8859_1).contains("Namaste"));
+            assertTrue(one.key.length() > 8);
+        }
+        assertEquals("{all served 200=10, one served 200=10, one served 404=10, track served 200=10}", kinds.toString());
+    }
 }
