--- a/src/main/java/honeygap/capture/query/Filter.java
+++ b/src/main/java/honeygap/capture/query/Filter.java
@@ -1,6 +1,7 @@
 package honeygap.capture.query;
 
 import honeygap.capture.message.Spoken;
+import honeygap.read.Signs;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
@@ -170,7 +171,7 @@
                 }
                 String wanted = plain(there);
                 Function<Spoken, String> text = TEXTS.get(name);
-                return spoken -> holds(sign, text.apply(spoken).compareTo(wanted));
+                return spoken -> Signs.holds(sign, text.apply(spoken).compareTo(wanted));
             }
             boolean isTime = TIMES.containsKey(name);
             ToDoubleFunction<Spoken> number = isTime ? TIMES.get(name) : NUMBERS.get(name);
@@ -180,7 +181,7 @@
             double wanted = number(there, isText, name, isTime);
             // What was never answered took no time that could be compared.
             return spoken -> !(isTime && number.applyAsDouble(spoken) < 0)
-                    && holds(sign, Double.compare(number.applyAsDouble(spoken), wanted));
+                    && Signs.holds(sign, Double.compare(number.applyAsDouble(spoken), wanted));
         }
 
         private static double number(Token there, boolean isText, String name, boolean isTime) {
@@ -201,23 +202,6 @@
             return Double.parseDouble(words.substring(0, end)) * (isTime ? UNITS.get(unit) : 1);
         }
 
-        private static boolean holds(String sign, int order) {
-            switch (sign) {
-                case "==":
-                    return order == 0;
-                case "!=":
-                    return order != 0;
-                case "<":
-                    return order < 0;
-                case "<=":
-                    return order <= 0;
-                case ">":
-                    return order > 0;
-                default:
-                    return order >= 0;
-            }
-        }
-
         private static String plain(Token text) {
             String words = text.getText();
             return words.substring(1, words.length() - 1).replaceAll("\\\\(.)", "$1");
--- a/src/main/java/honeygap/manage/host/Selector.java
+++ b/src/main/java/honeygap/manage/host/Selector.java
@@ -1,5 +1,6 @@
 package honeygap.manage.host;
 
+import honeygap.read.Signs;
 import java.util.Map;
 import java.util.function.Predicate;
 import org.antlr.v4.runtime.BaseErrorListener;
@@ -48,19 +49,6 @@
     private static boolean holds(String there, String sign, String value) {
         boolean areNumbers = there.matches("-?[0-9]{1,15}") && value.matches("-?[0-9]{1,15}");
         int order = areNumbers ? Long.compare(Long.parseLong(there), Long.parseLong(value)) : there.compareTo(value);
-        switch (sign) {
-            case "=":
-                return order == 0;
-            case "!=":
-                return order != 0;
-            case "<":
-                return order < 0;
-            case "<=":
-                return order <= 0;
-            case ">":
-                return order > 0;
-            default:
-                return order >= 0;
-        }
+        return Signs.holds(sign, order);
     }
 }
--- a/src/test/java/honeygap/net/FlagsTest.java
+++ b/src/test/java/honeygap/net/FlagsTest.java
@@ -37,7 +37,7 @@
 @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class FlagsTest {
 
-    private final List<AutoCloseable> open = new ArrayList<>();
+    private final List<AutoCloseable> open = java.util.Collections.synchronizedList(new ArrayList<>());
     private Agent agent;
     private Flags flags;
 
@@ -47,7 +47,7 @@
         if (agent != null) {
             agent.end();
         }
-        for (AutoCloseable peer : open) {
+        for (AutoCloseable peer : List.copyOf(open)) {
             peer.close();
         }
     }
@@ -648,6 +648,70 @@
         assertEquals("200", caller.raw("{\"context\":{}}").substring(0, 3));
     }
 
+    /**
+     * Servers that are listed in the registry's protocol, and a desk: both builds are used as the desk has it, and the
+     * vote against one that fails is cast there.
+     */
+    @Test
+    void listedAndVoted() throws Exception {
+        Scripted good = new Scripted("ok");
+        Scripted bad = new Scripted("500");
+        BlockingQueue<String> votes = new LinkedBlockingQueue<>();
+        ServerSocket list = speaks((in, out) -> {
+            Http.read(in);
+            out.write(("HTTP/1.1 200 OK\r\n\r\n" + ("{'index':1,'snapshot':true,'endpoints':[" + listed("s1", good, 1) + ","
+                    + listed("s2", bad, 2) + "]}").replace('\'', '"') + "\n").getBytes(StandardCharsets.UTF_8));
+            in.read();
+        });
+        ServerSocket desk = speaks((in, out) -> {
+            String[] call = Http.read(in);
+            if (call[0].startsWith("POST")) {
+                votes.add(call[2]);
+                in.read();
+            }
+            out.write(("HTTP/1.1 200 OK\r\n\r\nevent: progress\ndata: Revision=2&Wave=0&State=Progressing&MaxShare=0.5&AgeMs=0"
+                    + "\n\n").getBytes(StandardCharsets.UTF_8));
+            in.read();
+        });
+        Loop loop = new Loop();
+        flags = new Flags(loop, FlagSheet.of(fields("{'listen':'127.0.0.1:0'," + SOON + "'list':{'address':'127.0.0.1:"
+                + list.getLocalPort() + "'},'rollout':{'desk':{'address':'127.0.0.1:" + desk.getLocalPort()
+                + "'},'caps':[0.5],'soak':'1h'}}")), 7);
+        agent = new Agent(loop, List.of(flags));
+        agent.start();
+        Caller caller = new Caller();
+        for (int i = 0; votes.isEmpty(); i++) {
+            String heard = caller.one("a", "k" + i);
+            assertTrue(heard.startsWith("200") || heard.startsWith("429"), heard);
+        }
+        assertTrue(votes.take().endsWith("Revision=2&Wave=0&Decision=back"));
+        assertFalse(bad.heard.isEmpty());
+        assertEquals(2, counter("flag list", "appliances"));
+    }
+
+    private interface Speaking {
+        void speak(DataInputStream in, OutputStream out) throws IOException;
+    }
+
+    private ServerSocket speaks(Speaking speaking) throws IOException {
+        ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        open.add(server);
+        thread(() -> {
+            while (true) {
+                Socket socket = server.accept();
+                open.add(socket);
+                thread(() -> speaking.speak(new DataInputStream(new BufferedInputStream(socket.getInputStream())),
+                        socket.getOutputStream()));
+            }
+        });
+        return server;
+    }
+
+    private static String listed(String name, Scripted server, int build) {
+        return "{'name':'" + name + "','address':'" + server.address() + "','zone':'a','group':0,'status':'SERVING',"
+                + "'since_ms':0,'release':" + build + "}";
+    }
+
     /** A file that can't be read whole changes nothing. */
     @Test
     void brokenReread() throws Exception {
