--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -151,7 +151,11 @@
 
     public void taken(Rpc rpc) {
         further = Math.min(FURTHER_MOST, further + FURTHER_SHARE);
-        takenAt.get(exposureGroup(rpc.method)).addLast(now);
+        ArrayDeque<Long> times = takenAt.get(exposureGroup(rpc.method));
+        times.addLast(now);
+        while (times.peekFirst() < now - exposure.window) {
+            times.removeFirst();    // Also while no build is on trial, or they would pile up for ever.
+        }
         rpc.method.work += Math.max(FADE, 1.0 / ++rpc.method.taken) * (rpc.work - rpc.method.work);
         takenWork += cost(rpc);
         first += rpc.retry ? 0 : 1;
@@ -784,10 +788,9 @@
         listAnswered |= !diskList;
         named.forEach(appliance -> note(appliance.build));
         fleet.removeIf(appliance -> appliance.state == Appliance.GONE);
-        // Records of earlier builds leave with their last appliance and pick, or they would pile up for ever.
         builds.forEach(build -> build.left = build != fitted && newest != null && build.number < newest.number
                 && build.room.out == 0 && fleet.stream().noneMatch(appliance -> appliance.build == build));
-        builds.removeIf(build -> build.left);
+        builds.removeIf(build -> build.left);    // With its last appliance and pick.
         builds.forEach(build -> build.room.appliances = 0);
         for (Appliance appliance : fleet) {
             appliance.build.room.appliances += appliance.state == Appliance.UP ? 1 : 0;
@@ -954,8 +957,8 @@
 
     /** Rules on appliances for one RPC: state, drains, effects, keys, exposure and cold starts. */
     private boolean allowed(Rpc rpc, Appliance appliance, Pick mayRun) {
-        boolean barred = now < appliance.barredUntil
-                || now < appliance.zone.limitedUntil && appliance.zone.out >= appliance.zone.most;
+        Location zone = appliance.zone;
+        boolean barred = now < appliance.barredUntil || now < zone.limitedUntil && zone.out >= zone.most;
         if (appliance.state != Appliance.UP || barred || !keyAllows(rpc, appliance.build)) {
             return false;
         }
