What a code or a status comes to stands in one place; a step's state that nobody set is out

Cause: the conversations of captures and the replayer each had the same classification of errors and statuses; Step named an undoing that is not built. Change: Spoken.Outcome.ofCode and ofStatus serve both; the dead state is removed.

--- a/src/main/java/honeygap/capture/message/HttpConversation.java
+++ b/src/main/java/honeygap/capture/message/HttpConversation.java
@@ -176,8 +176,7 @@
         if (spoken != null) {
             spoken.took = Math.max(0, now - spoken.at);
             spoken.code = Integer.toString(status);
-            spoken.outcome = status == 429 || status == 503 ? Spoken.Outcome.refused
-                    : status >= 500 || status == 408 ? Spoken.Outcome.failed : Spoken.Outcome.served;
+            spoken.outcome = Spoken.Outcome.ofStatus(status);
             spoken.answer = body.toByteArray();
             hearer.accept(spoken);
         }
--- a/src/main/java/honeygap/capture/message/PgConversation.java
+++ b/src/main/java/honeygap/capture/message/PgConversation.java
@@ -219,8 +219,7 @@
             case 'E':
                 keep();
                 code = Words.field(down.body(), 'C');
-                outcome = code.equals(Words.TOO_MANY) || code.equals("57P03") ? Spoken.Outcome.refused
-                        : Spoken.Outcome.failed;
+                outcome = Spoken.Outcome.ofCode(code);
                 if (Words.field(down.body(), 'S').equals("FATAL")) {
                     answered(at);
                 }
--- a/src/main/java/honeygap/capture/message/Spoken.java
+++ b/src/main/java/honeygap/capture/message/Spoken.java
@@ -1,12 +1,25 @@
 package honeygap.capture.message;
 
 import honeygap.capture.packet.Address;
+import honeygap.net.pg.Words;
 
 /** One RPC as a capture has it: what was asked, what was answered, and when. */
 public final class Spoken {
 
     /** How it ended: well, pushed back, with an error, not in the capture, or with bytes of it missing. */
-    public enum Outcome { served, refused, failed, open, torn }
+    public enum Outcome {
+        served, refused, failed, open, torn;
+
+        /** What an error of PostgreSQL's protocol comes to, by its code. */
+        public static Outcome ofCode(String code) {
+            return code.equals(Words.TOO_MANY) || code.equals("57P03") ? refused : failed;
+        }
+
+        /** What an answer of the flag API comes to, by its status. */
+        public static Outcome ofStatus(int status) {
+            return status == 429 || status == 503 ? refused : status >= 500 || status == 408 ? failed : served;
+        }
+    }
 
     public String protocol;
     /** Of the capture, counted from 1. */
--- a/src/main/java/honeygap/capture/replay/Replayer.java
+++ b/src/main/java/honeygap/capture/replay/Replayer.java
@@ -272,9 +272,7 @@
                 if (type == 'C') {
                     outcome = Spoken.Outcome.served;
                 } else if (type == 'E') {
-                    String code = Words.field(frames.body(), 'C');
-                    outcome = code.equals(Words.TOO_MANY) || code.equals("57P03") ? Spoken.Outcome.refused
-                            : Spoken.Outcome.failed;
+                    outcome = Spoken.Outcome.ofCode(Words.field(frames.body(), 'C'));
                     if (Words.field(frames.body(), 'S').equals("FATAL")) {
                         ended(outcome, null);
                         drop();
@@ -351,8 +349,7 @@
         public void end() {
             byte[] bytes = body.toByteArray();
             body.reset();
-            ended(status == 429 || status == 503 ? Spoken.Outcome.refused
-                    : status >= 500 || status == 408 ? Spoken.Outcome.failed : Spoken.Outcome.served, bytes);
+            ended(Spoken.Outcome.ofStatus(status), bytes);
             if (isLast) {
                 drop();
             }
--- a/src/main/java/honeygap/manage/Step.java
+++ b/src/main/java/honeygap/manage/Step.java
@@ -14,9 +14,7 @@
         /** The instance said so. */
         APPLIED,
         /** Surely not, and will not be. */
-        NOT_APPLIED,
-        /** Undone after it was applied. */
-        UNDONE;
+        NOT_APPLIED;
 
         public boolean isOpen() {
             return this == PLANNED || this == SENT || this == UNKNOWN;
