Votes of many agents: failures by picks that ended, no 'on' unseen or while worse is likelier

Change: the group that stood in for a missing earlier build goes from the first fit into the third, which takes errors and resets by the picks that ended, all the time; 'on' waits for eight picks of the stage (two more waits at most, and not where the desk's counts join) and is not said while a build twice as bad is likelier than not.

--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -32,6 +32,7 @@
 
     private static final double BACK_CHANCE = 0.95;
     private static final double HOLD_CHANCE = 0.8;
+    private static final double ON_CHANCE = 0.5;
     /** The desk's counts must be surer: picks that jam together are no independent events. */
     private static final double COUNTED_CHANCE = 0.98;
     private static final int FAILURES_TO_JUDGE = 3;
@@ -42,6 +43,9 @@
     private static final double BENEATH_NOTICE = 0.02;
     /** Times the least duration of a stage that a vote for it waits. */
     private static final double ON_SOAKS = 1.5;
+    /** Picks of the stage that must have ended at the build for 'on', and waits after which it goes without. */
+    private static final int ENOUGH = 8;
+    private static final int UNSEEN_WAITS = 2;
     /** Times the usual past which an answer is an event of the second effect. */
     private static final double FAR_PAST = 3;
     /** What is kept of its new arm each second, and how many waits it must last to send a build back. */
@@ -102,6 +106,7 @@
     private final int agents;
     private final long tick;
     private final long onWait;
+    private final boolean deskCounts;
     private final List<Method> methods;
     private final Tries tries;
     private final Listing listing;
@@ -130,6 +135,7 @@
         this.desk = desk;
         this.exposure = exposure;
         onWait = (long) (ON_SOAKS * desk.soak);
+        deskCounts = agents * desk.sampledShare >= SAMPLED_TO_JOIN;
         this.slowed = new Fit(methods.size());
         this.wrong = new Fit(methods.size());
         for (int i = 0; i < (exposure.perMethod ? methods.size() : 1); i++) {
@@ -279,9 +285,7 @@
         // Event j: failures, of them on the new build, and the two risk sets. The first are grouped ones.
         private double[][] risk = {};
         private int size;
-        private double events;
-        private double ofNew;
-        private double mode;
+        private double events, ofNew, mode;
         private double curvature = 1;
         private boolean stale;
 
@@ -405,6 +409,7 @@
         if ((failed || outcome == Pick.OK) && !hopeless) {
             pick.appliance.failing += WAY_FADE * ((failed ? 1 : 0) - pick.appliance.failing);
         }
+        pick.build.seen += failed || outcome == Pick.OK ? 1 : 0;
         boolean tells = outcome == Pick.OK || slow || failed && !hopeless && !odd(pick.appliance);
         if (fitted == null || !tells) {
             return;
@@ -413,19 +418,16 @@
         int method = pick.rpc.method.index;
         boolean isNew = pick.build == fitted;
         int old = builds.stream().mapToInt(build -> build == fitted ? 0 : build.out(slow)[method]).sum();
-        if (!slow && (!isNew || old == 0)) {
-            // No earlier build is at risk: what it did before stands in as a grouped risk set, for errors and
-            // resets. Guards against builds that turn bad late. Harm: errors that begin elsewhere just then.
-            // Its own failures stand there too, or those that come at every build would convict the new one.
-            fit.add(method, isNew, 1, failed ? 1 : 0);
-        }
         // A silent appliance is one event however many picks it held, and a cold one may time out by being
         // cold: neither must convict its build. Harm: a build that only ever times out is judged later.
         if (failed && (old > 0 || !isNew) || slow && pick.appliance.silent == 0 && !pick.cold) {
             fit.event(old, fitted.out(slow)[method], isNew);
         }
-        if (outcome == Pick.OK) {
-            wrong.add(method, isNew, 1, 0);
+        if (!slow) {
+            // Slow picks swell the risk set in flight, and of many agents each has few out at a time: by the
+            // picks that have ended a build that fails, or turns bad late, shows sooner. Harm: errors that
+            // begin elsewhere just then.
+            wrong.add(method, isNew, 1, failed ? 1 : 0);
         }
     }
 
@@ -473,14 +475,12 @@
     }
 
     private Build newest;
-    private int phase = Build.RELEASED;
-    private int stage;
+    private int phase = Build.RELEASED, stage;
     private double cap;
     private long stageSince;
 
     private Build votedBuild;
-    private int votedStage;
-    private int votedVerdict;
+    private int votedStage, votedVerdict;
     private long votedAt = LONG_AGO;
     private boolean voteOut;
     private String line;
@@ -499,6 +499,7 @@
             slowed.fade(0);
             builds.stream().filter(earlier -> earlier.number < build.number).forEach(b -> b.keys.clear());
         }
+        build.seen = build == newest && stage == this.stage ? build.seen : 0;
         newest = build;
         this.phase = phase;
         this.stage = stage;
@@ -514,7 +515,7 @@
      */
     public void counted(Build build, Method method, long many, long bad, long mean) {
         note(build);
-        if (fitted == null || agents * desk.sampledShare < SAMPLED_TO_JOIN) {
+        if (fitted == null || !deskCounts) {
             return;
         }
         if (countedAt != now) {
@@ -550,7 +551,7 @@
         Build trial = trial();
         if (trial != null && trial != fitted) {
             fitted = trial;
-            fit = new Fit(methods.size());
+            fit = new Fit(0);
             allAgents = methods.stream().map(method -> new Fit(1)).toArray(Fit[]::new);
             countedAt = LONG_AGO;
             wrong = new Fit(methods.size());
@@ -601,7 +602,7 @@
         if (desk.gate == AUTOMATIC) {
             return worse > HOLD_CHANCE ? Build.VOTE_HOLD : Build.VOTE_NONE;
         }
-        boolean good = Math.max(worse, worse(slowed)) <= HOLD_CHANCE;
+        boolean good = Math.max(worse, worse(slowed)) <= HOLD_CHANCE && wrong.worse(TOLERATED) <= ON_CHANCE;
         return good && now >= onAfter() ? Build.VOTE_ON : Build.VOTE_NONE;
     }
 
@@ -615,6 +616,8 @@
                 .mapToLong(a -> a.startedAt).reduce(stageSince, Math::max);
         int wanted = stage < exposure.waves.length ? Math.max(1, (int) (exposure.waves[stage] * places)) : 1;
         // A list that lags must not hold a good build up for ever. Harm: 'on' with less of the stage seen.
+        // One of many agents hears late and sends little: nothing seen is no good word. Harm: 'on' comes later.
+        last += deskCounts || newest.seen >= ENOUGH ? 0 : UNSEEN_WAITS * onWait;
         return onWait + (newest.room.appliances >= wanted ? last : Math.max(last, stageSince + 2 * onWait));
     }
 
@@ -677,8 +680,7 @@
     private double takenWork;
     private double warmRate;
     /** RPCs a second that are no further try, lately and when the build on trial came. */
-    private double firstRate;
-    private double rateThen;
+    private double firstRate, rateThen;
     private long first;
     private long rateSince = LONG_AGO;
 
@@ -746,8 +748,7 @@
 
     private long askedAt = LONG_AGO;
     private boolean listAnswered;
-    private boolean fullList;
-    private boolean diskList;
+    private boolean fullList, diskList;
     private final List<Appliance> named = new ArrayList<>();
 
     public void listBegins(boolean full, boolean disk) {
@@ -974,8 +975,7 @@
         return free(appliance.build.room) && exposable(appliance.build, method) && bears(appliance, rpc);
     }
 
-    private double sentOld;
-    private double sentNew;
+    private double sentOld, sentNew;
 
     private Appliance choose(Rpc rpc) {
         Pick mayRun = firstThatMayRun(rpc);
--- a/src/main/java/honeygap/fleet/Build.java
+++ b/src/main/java/honeygap/fleet/Build.java
@@ -37,6 +37,9 @@
         return warmOnly ? warmInFlight : inFlight;
     }
 
+    /** Picks that ended with a word from it since the stage began. */
+    public int seen;
+
     /** The module has let go of it: nothing of it is up, out or counted any more. */
     public boolean left;
 
--- a/src/test/java/honeygap/RulesTest.java
+++ b/src/test/java/honeygap/RulesTest.java
@@ -9,6 +9,7 @@
 import honeygap.fleet.Pick;
 import honeygap.fleet.Rpc;
 import java.util.ArrayDeque;
+import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -158,16 +159,20 @@
         assertEquals(then, agency.pull());
     }
 
-    /** 'On' waits three seconds from the last listed start, and longer for appliances that the list lacks. */
+    /**
+     * 'On' waits three seconds from the last listed start, longer for appliances that the list lacks, and longest
+     * while few picks have ended at the build since the stage began.
+     */
     @ParameterizedTest
-    @CsvSource({"2,1,''", "3,1,vote1", "8,0,''", "9,0,vote1"})
-    void onIsPatient(int seconds, int listed, String then) {
-        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+    @CsvSource({"2,1,8,''", "3,1,8,vote1", "8,0,8,''", "9,0,8,vote1", "3,1,7,''", "8,1,7,''", "9,1,0,vote1"})
+    void onIsPatient(int seconds, int listed, int seen, String then) {
+        Agency agency = Agency.one(7, 1, Rules.FIRST_VOICE, 0);
         agency.warm(1, agency.old);
         agency.rules.told(agency.fresh, Build.ON_TRIAL, 0, 0.2, false, agency.now, 0);
         if (listed == 1) {
             agency.list(2, agency.fresh, 0, 0, Appliance.UP, agency.now);
         }
+        agency.fresh.seen = seen;
         agency.after(seconds * SECOND);
         assertEquals(then, agency.pull());
     }
@@ -181,6 +186,7 @@
         agency.warm(1, agency.old);
         agency.rules.told(agency.fresh, Build.ON_TRIAL, 0, 0.2, false, agency.now, 0);
         agency.list(2, agency.fresh, 0, 0, Appliance.UP, agency.now);
+        agency.fresh.seen = 8;
         agency.after(3 * SECOND);
         assertEquals("vote1", agency.pull());
         if (answer >= 0) {
@@ -394,6 +400,58 @@
         assertEquals(back, said.contains("vote" + Build.VOTE_BACK));
     }
 
+    /**
+     * Of 14 agents each sends the build on trial a few picks: where it fails a part of them and its picks take
+     * four times as long, three send it back within ten seconds of traffic, also while one of the old appliances
+     * is sick; no half of them is for it before. A good build with a sick appliance of its own goes on.
+     */
+    @ParameterizedTest
+    @CsvSource({"3,false,1", "3,true,1", "3,true,2", "0,false,1", "0,true,1"})
+    void manyAgents(int failsOneIn, boolean sick, int seed) {
+        int backs = 0;
+        int ons = 0;
+        Random random = new Random(seed);
+        for (int i = 0; i < 14; i++) {
+            Agency agency = new Agency(seed * 100 + i, 14, new Rules.Tries(3, true, SECOND / 2),
+                    new Rules.Listing(false, 10 * SECOND),
+                    new Rules.Desk(Rules.BY_COUNT, 6 * SECOND, SECOND, SECOND, 3, 30, 0),
+                    new Rules.Exposure(new double[] {0.3, 1}, new double[] {0.2, 1}, 2 * SECOND, 1, false, 0,
+                            false), 0);
+            for (int id = 0; id < 20; id++) {
+                agency.warm(id, id < 16 ? agency.old : agency.fresh);
+            }
+            agency.rules.told(agency.fresh, Build.ON_TRIAL, 0, 0.3, false, agency.now, 0);
+            ArrayDeque<Rpc> slow = new ArrayDeque<>();
+            String said = "";
+            int onAt = Integer.MAX_VALUE;
+            for (int tick = 0; tick < 400; tick++) {
+                agency.after(250);
+                Rpc rpc = agency.take(0, null);
+                said += agency.pull();
+                onAt = said.contains("vote" + Build.VOTE_ON) ? Math.min(tick, onAt) : onAt;
+                if (rpc.out > 0 && rpc.picks.get(0).build == agency.fresh) {
+                    slow.add(rpc);
+                } else if (rpc.out > 0) {
+                    boolean isSick = sick && rpc.picks.get(0).appliance.id == 3;
+                    agency.end(rpc, isSick ? Pick.ERROR : Pick.OK);
+                }
+                while (!slow.isEmpty() && slow.peek().takenAt <= agency.now - 1000) {
+                    Rpc done = slow.remove();
+                    boolean isSick = sick && failsOneIn == 0 && done.picks.get(0).appliance.id == 18;
+                    boolean fails = failsOneIn > 0 && random.nextInt(failsOneIn) == 0;
+                    if (done.picks.size() == 1 && done.out > 0) {
+                        agency.end(done, fails || isSick ? Pick.ERROR : Pick.OK);
+                    }
+                }
+            }
+            backs += said.contains("vote" + Build.VOTE_BACK) ? 1 : 0;
+            ons += onAt < 200 ? 1 : 0;
+        }
+        String seen = backs + " for back, " + ons + " for on, seed " + seed;
+        assertEquals(failsOneIn > 0, backs >= 3, seen);
+        assertEquals(failsOneIn == 0, ons >= 7, seen);
+    }
+
     /** A key that was sent to the new build stays with it, whether the answer has come, could be read, or not. */
     @ParameterizedTest
     @CsvSource({"0", "3", "5", "6", "-1"})
@@ -427,6 +485,7 @@
         agency.warm(1, agency.old);
         agency.warm(2, agency.fresh);
         agency.rules.told(agency.fresh, Build.ON_TRIAL, 0, 1, false, agency.now, 0);
+        agency.fresh.seen = 8;
         agency.after((long) (seconds * SECOND));
         assertEquals(on, agency.pull().contains("vote" + Build.VOTE_ON));
     }
