Sick appliances left out, one event a lost location, failures against picks that ended lately

Counted over all agents: nine or ten resets at the build on trial within the ms in which a location was lost (its theta by picks -1.7), and 547 errors in five seconds, of them up to 24 of one agent at one appliance of the new build whose others were cold. Lines at fault: judge took each reset of a lost location for an event; lighter fell back to appliances left out while the other build had healthy ones; an appliance that fails at once was never left out, only weighed. Changes: the third effect's risk sets are the picks that ended lately (0.8 kept a second), the group stands in only while no earlier build is up; resets of a location closer than a usual time are one event; errors of an odd appliance count as silence; healthy appliances of either build come before any left out; 'on' up to a chance of 0.65.

--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -24,7 +24,6 @@
 public final class Rules {
 
     public static final long LONG_AGO = Long.MIN_VALUE / 4;
-
     public static final int FIRST_VOICE = 0, BY_COUNT = 1, AUTOMATIC = 2;
 
     private static final String[] VERDICTS = {"takes its vote away", "votes on", "votes hold", "votes back"};
@@ -32,7 +31,7 @@
 
     private static final double BACK_CHANCE = 0.95;
     private static final double HOLD_CHANCE = 0.8;
-    private static final double ON_CHANCE = 0.5;
+    private static final double ON_CHANCE = 0.65;
     /** The desk's counts must be surer: picks that jam together are no independent events. */
     private static final double COUNTED_CHANCE = 0.98;
     private static final int FAILURES_TO_JUDGE = 3;
@@ -43,13 +42,15 @@
     private static final double BENEATH_NOTICE = 0.02;
     /** Times the least duration of a stage that a vote for it waits. */
     private static final double ON_SOAKS = 1.5;
-    /** Picks of the stage that must have ended at the build for 'on', and waits after which it goes without. */
+    /** Picks of the stage that must have ended at the build for 'on', and waits after which none need. */
     private static final int ENOUGH = 8;
     private static final int UNSEEN_WAITS = 2;
     /** Times the usual past which an answer is an event of the second effect. */
     private static final double FAR_PAST = 3;
     /** What is kept of its new arm each second, and how many waits it must last to send a build back. */
     private static final double SLOWED_KEPT = 0.5;
+    /** What is kept each second of the picks that have ended, as a risk set. */
+    private static final double ENDED_KEPT = 0.8;
     private static final int SLOWED_WAITS = 2;
     /** Times the RPCs taken when the build came, beyond which slowness is the traffic's, not the build's. */
     private static final double BURST = 1.5;
@@ -92,7 +93,7 @@
     /** A cold appliance: what it starts from, when it is warm, and what pushes it over. */
     public record Cold(double from, long warmAfter, double fallMultiple, long tipAfter) { }
 
-    /** The desk: what votes do, how long they and stages last, its time-out, voices to send back, its counts. */
+    /** The desk: what votes do, how long they and stages last, time-out, voices to send back, counts. */
     public record Desk(int gate, long voteStands, long soak, long callTimeout, int noes, double votesPerS,
                        double sampledShare) { }
 
@@ -137,7 +138,7 @@
         onWait = (long) (ON_SOAKS * desk.soak);
         deskCounts = agents * desk.sampledShare >= SAMPLED_TO_JOIN;
         this.slowed = new Fit(methods.size());
-        this.wrong = new Fit(methods.size());
+        this.wrong = new Fit(2 * methods.size());
         for (int i = 0; i < (exposure.perMethod ? methods.size() : 1); i++) {
             takenAt.add(new ArrayDeque<>());
         }
@@ -192,7 +193,8 @@
         pace(pick, outcome, lag);
         if (outcome == Pick.OK) {
             answered(pick, lag);
-        } else if (outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED) {
+        } else if (outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED
+                || outcome == Pick.ERROR && odd(appliance)) {
             silence(appliance, rpc.method);
         } else if (outcome != Pick.CANCELLED && outcome != Pick.MOOT) {
             appliance.silent = 0;
@@ -252,10 +254,9 @@
 
     /** How the way to a location is, by what comes back from there and what does not. */
     private void way(Location zone, Rpc rpc, int outcome, long lag) {
-        if (rpc.method.usual > 0 && (outcome == Pick.OK || outcome == Pick.TIMEOUT
-                || outcome == Pick.CONNECT_FAILED)) {
-            double ratio = lag / expected(rpc);
-            double seen = outcome == Pick.OK ? ratio : Math.max(ratio, 2 * FAR_PAST);
+        boolean isOk = outcome == Pick.OK;
+        if (rpc.method.usual > 0 && (isOk || outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED)) {
+            double seen = Math.max(lag / expected(rpc), isOk ? 0 : 2 * FAR_PAST);
             zone.pace += WAY_FADE * (Math.min(seen, 4 * FAR_PAST) - zone.pace);
         }
     }
@@ -402,15 +403,16 @@
         // A customer's RPCs that earlier builds fail as well are no evidence, and get no further picks: they
         // are bad themselves. Harm: the customer's good ones get one pick, too.
         Tenant tenant = pick.rpc.tenant;
-        if ((failed || outcome == Pick.OK) && pick.build != fitted) {
-            tenant.failing += WAY_FADE * ((failed ? 1 : 0) - tenant.failing);
-        }
+        boolean word = failed || outcome == Pick.OK;
+        int bad = failed ? 1 : 0;
+        tenant.failing += word && pick.build != fitted ? WAY_FADE * (bad - tenant.failing) : 0;
         boolean hopeless = failed && tenant.failing > HOPELESS;
-        if ((failed || outcome == Pick.OK) && !hopeless) {
-            pick.appliance.failing += WAY_FADE * ((failed ? 1 : 0) - pick.appliance.failing);
-        }
-        pick.build.seen += failed || outcome == Pick.OK ? 1 : 0;
-        boolean tells = outcome == Pick.OK || slow || failed && !hopeless && !odd(pick.appliance);
+        pick.appliance.failing += word && !hopeless ? WAY_FADE * (bad - pick.appliance.failing) : 0;
+        pick.build.seen += word ? 1 : 0;
+        // Connections to a location that break at once are one event: it is lost, not the build there.
+        boolean again = outcome == Pick.RESET && now < pick.zone.brokeAt + pick.rpc.method.usual;
+        pick.zone.brokeAt = outcome == Pick.RESET ? now : pick.zone.brokeAt;
+        boolean tells = outcome == Pick.OK || slow || failed && !again && !hopeless && !odd(pick.appliance);
         if (fitted == null || !tells) {
             return;
         }
@@ -423,15 +425,23 @@
         if (failed && (old > 0 || !isNew) || slow && pick.appliance.silent == 0 && !pick.cold) {
             fit.event(old, fitted.out(slow)[method], isNew);
         }
-        if (!slow) {
-            // Slow picks swell the risk set in flight, and of many agents each has few out at a time: by the
-            // picks that have ended a build that fails, or turns bad late, shows sooner. Harm: errors that
-            // begin elsewhere just then.
-            wrong.add(method, isNew, 1, failed ? 1 : 0);
+        if (slow) {
+            return;
+        }
+        // Slow picks swell the risk set in flight, and of many agents each has few out: set against the
+        // picks that ended lately a build that fails shows sooner. With no earlier build up, all that these
+        // did since the trial began stands in. Harm: errors that begin elsewhere just then.
+        pick.build.ended[method]++;
+        double ended = builds.stream().mapToDouble(build -> build == fitted ? 0 : build.ended[method]).sum();
+        boolean alone = earlier() == 0;
+        wrong.add(method, isNew, 1 - bad, 0);
+        wrong.add(methods.size() + method, isNew, isNew && !alone ? 0 : 1, isNew && !alone ? 0 : bad);
+        if (failed && !alone) {
+            wrong.event(ended, fitted.ended[method], isNew);
         }
     }
 
-    /** The machine is sick, not its build. Harm: a build that fails at one of its first only is judged later. */
+    /** The machine is sick, not its build. Harm: a build that fails at one of its first is judged later. */
     private boolean odd(Appliance appliance) {
         double others = fleet.stream().filter(a -> a != appliance && a.build == appliance.build)
                 .mapToDouble(a -> a.failing).average().orElse(1);
@@ -482,9 +492,8 @@
     private Build votedBuild;
     private int votedStage, votedVerdict;
     private long votedAt = LONG_AGO;
-    private boolean voteOut;
+    private boolean voteOut, voteStood;
     private String line;
-    private boolean voteStood;
 
     public void told(Build build, int phase, int stage, double cap, boolean answer, long since, int outcome) {
         if (answer) {
@@ -554,7 +563,7 @@
             fit = new Fit(0);
             allAgents = methods.stream().map(method -> new Fit(1)).toArray(Fit[]::new);
             countedAt = LONG_AGO;
-            wrong = new Fit(methods.size());
+            wrong = new Fit(2 * methods.size());
             methods.forEach(method -> method.before = method.usual);
             places = earlier();
             rateThen = firstRate;
@@ -588,12 +597,12 @@
             return Build.VOTE_NONE;
         }
         double all = Arrays.stream(allAgents).mapToDouble(Rules::worse).max().orElse(0);
-        double worse = Math.max(all, Math.max(worse(fit), worse(wrong)));
+        double own = Math.max(worse(fit), worse(wrong)), worse = Math.max(all, own);
         boolean lasting = now >= slowedSince + SLOWED_WAITS * onWait;
         // Where few voices are enough, all agents share the chance that one of them is wrong.
         double few = Math.min(1, (double) desk.noes * desk.noes / agents);
-        boolean back = Math.max(worse(fit), worse(wrong)) > 1 - (1 - BACK_CHANCE) * few;
-        if (back || all > COUNTED_CHANCE || lasting && worse(slowed) > BACK_CHANCE) {
+        boolean back = own > 1 - (1 - BACK_CHANCE) * few || all > COUNTED_CHANCE;
+        if (back || lasting && worse(slowed) > BACK_CHANCE) {
             return Build.VOTE_BACK;
         }
         if (phase == Build.RELEASED) {
@@ -616,7 +625,7 @@
                 .mapToLong(a -> a.startedAt).reduce(stageSince, Math::max);
         int wanted = stage < exposure.waves.length ? Math.max(1, (int) (exposure.waves[stage] * places)) : 1;
         // A list that lags must not hold a good build up for ever. Harm: 'on' with less of the stage seen.
-        // One of many agents hears late and sends little: nothing seen is no good word. Harm: 'on' comes later.
+        // One of many agents hears late and sends little: nothing seen is no good word. Harm: 'on' is later.
         last += deskCounts || newest.seen >= ENOUGH ? 0 : UNSEEN_WAITS * onWait;
         return onWait + (newest.room.appliances >= wanted ? last : Math.max(last, stageSince + 2 * onWait));
     }
@@ -686,8 +695,8 @@
 
     /** Part of its full capacity that the appliance surely has. */
     private double warmth(Appliance appliance) {
-        long age = now - appliance.startedAt;
-        return age >= cold.warmAfter ? 1 : cold.from + (1 - cold.from) * Math.max(0, age) / cold.warmAfter;
+        long age = Math.max(0, now - appliance.startedAt);
+        return age >= cold.warmAfter ? 1 : cold.from + (1 - cold.from) * age / cold.warmAfter;
     }
 
     /** What the RPC should take: the method's usual time, more where its hint says that it is heavy. */
@@ -715,6 +724,7 @@
             warmRate += (warmRate > 0 ? RATE_FADE : 1) * (rate - warmRate);
         }
         slowed.fade(SLOWED_KEPT);
+        builds.forEach(build -> Arrays.setAll(build.ended, i -> ENDED_KEPT * build.ended[i]));
         firstRate += RATE_FADE * (first * (double) SECOND / (now - rateSince) - firstRate);
         first = 0;
         warmWork = 0;
@@ -793,9 +803,7 @@
                 && build.room.out == 0 && fleet.stream().noneMatch(appliance -> appliance.build == build));
         builds.removeIf(build -> build.left);    // With its last appliance and pick.
         builds.forEach(build -> build.room.appliances = 0);
-        for (Appliance appliance : fleet) {
-            appliance.build.room.appliances += appliance.state == Appliance.UP ? 1 : 0;
-        }
+        fleet.forEach(one -> one.build.room.appliances += one.state == Appliance.UP ? 1 : 0);
         for (Build build : builds) {
             // Two picks an agent, or light agents would block themselves, unless all together are too many.
             double two = 2 * agents / LIMIT_START / Math.max(1, build.room.appliances);
@@ -964,15 +972,12 @@
             return false;
         }
         Method method = rpc.method;
-        if (mayRun != null && method.effect == Method.TOKENED) {
-            boolean group = method.scope == Method.SCOPE_ALL
-                    || method.scope == Method.SCOPE_ZONE && appliance.zone == mayRun.appliance.zone
-                    || method.scope == Method.SCOPE_CELL && appliance.cell == mayRun.appliance.cell;
-            if (!group || now >= mayRun.sentAt + method.tokenWindow - 4 * tick) {
-                return false;
-            }
-        }
-        return free(appliance.build.room) && exposable(appliance.build, method) && bears(appliance, rpc);
+        boolean group = mayRun == null || method.effect != Method.TOKENED
+                || now < mayRun.sentAt + method.tokenWindow - 4 * tick && (method.scope == Method.SCOPE_ALL
+                || method.scope == Method.SCOPE_ZONE && appliance.zone == mayRun.appliance.zone
+                || method.scope == Method.SCOPE_CELL && appliance.cell == mayRun.appliance.cell);
+        Build build = appliance.build;
+        return group && free(build.room) && exposable(build, method) && bears(appliance, rpc);
     }
 
     private double sentOld, sentNew;
@@ -980,20 +985,15 @@
     private Appliance choose(Rpc rpc) {
         Pick mayRun = firstThatMayRun(rpc);
         Build trial = trial();
-        List<Appliance> old = new ArrayList<>();
-        List<Appliance> fresh = new ArrayList<>();
-        int latest = 0;
-        for (Appliance appliance : fleet) {
-            boolean isNew = appliance.build == trial;
-            if (allowed(rpc, appliance, mayRun)) {
-                (isNew ? fresh : old).add(appliance);
-                latest = isNew ? latest : Math.max(latest, appliance.build.number);
-            }
-        }
-        int newestOld = latest;
-        old.removeIf(appliance -> appliance.build.number < newestOld);    // After the release: the newer.
-        Appliance ofOld = lighter(rpc, old);
-        Appliance ofNew = lighter(rpc, fresh);
+        List<Appliance> old = new ArrayList<>(fleet), fresh = new ArrayList<>();
+        old.removeIf(appliance -> !allowed(rpc, appliance, mayRun));
+        old.stream().filter(appliance -> appliance.build == trial).forEach(fresh::add);
+        old.removeAll(fresh);
+        int latest = old.stream().mapToInt(appliance -> appliance.build.number).max().orElse(0);
+        old.removeIf(appliance -> appliance.build.number < latest);    // After the release: the newer.
+        boolean none = healthy(rpc, old).isEmpty() && healthy(rpc, fresh).isEmpty();
+        Appliance ofOld = lighter(none ? old : healthy(rpc, old));
+        Appliance ofNew = lighter(none ? fresh : healthy(rpc, fresh));
         if (ofOld == null || ofNew == null) {
             return ofOld == null ? ofNew : ofOld;
         }
@@ -1011,18 +1011,18 @@
         return rpc.drawnNew || sentOld > share * (sentOld + sentNew);
     }
 
-    /** Two random choices on in-flight counts, among the healthy not tried yet where there are any. */
-    private Appliance lighter(Rpc rpc, List<Appliance> from) {
-        List<Appliance> best = new ArrayList<>();
-        for (Appliance appliance : from) {
-            boolean nowAndThen = now >= appliance.zone.sentAt + AWAY_USUALS * rpc.method.softDeadline;
-            if (now >= appliance.awayUntil && (nowAndThen || !away(appliance.zone))
-                    && (appliance.silent < SILENT_TO_LEAVE || appliance.room.out == 0)
-                    && rpc.picks.stream().noneMatch(pick -> pick.appliance == appliance)) {
-                best.add(appliance);
-            }
-        }
-        List<Appliance> among = best.isEmpty() ? from : best;
+    /** Those that are not left out now nor were tried for this RPC yet; any other is the last resort. */
+    private List<Appliance> healthy(Rpc rpc, List<Appliance> from) {
+        List<Appliance> best = new ArrayList<>(from);
+        best.removeIf(appliance -> now < appliance.awayUntil
+                || away(appliance.zone) && now < appliance.zone.sentAt + AWAY_USUALS * rpc.method.softDeadline
+                || appliance.silent >= SILENT_TO_LEAVE && appliance.room.out > 0
+                || rpc.picks.stream().anyMatch(pick -> pick.appliance == appliance));
+        return best;
+    }
+
+    /** Two random choices on in-flight counts. */
+    private Appliance lighter(List<Appliance> among) {
         among.removeIf(appliance -> !free(appliance.room));
         if (among.isEmpty()) {
             return null;
--- a/src/main/java/honeygap/fleet/Build.java
+++ b/src/main/java/honeygap/fleet/Build.java
@@ -37,6 +37,8 @@
         return warmOnly ? warmInFlight : inFlight;
     }
 
+    /** Picks that ended lately with a word from it, by method. */
+    public final double[] ended;
     /** Picks that ended with a word from it since the stage began. */
     public int seen;
 
@@ -46,6 +48,7 @@
     public Build(int number, int methods) {
         this.number = number;
         this.exposedOf = new int[methods];
+        this.ended = new double[methods];
         this.inFlight = new int[methods];
         this.warmInFlight = new int[methods];
     }
--- a/src/main/java/honeygap/fleet/Location.java
+++ b/src/main/java/honeygap/fleet/Location.java
@@ -9,6 +9,8 @@
     public int out;
     public int most;
     public long limitedUntil = Long.MIN_VALUE / 2;
+    /** When a connection there last broke under a pick. */
+    public long brokeAt = Long.MIN_VALUE / 2;
     /** When the last pick went there. */
     public long sentAt = Long.MIN_VALUE / 2;
 }
--- a/src/test/java/honeygap/RulesTest.java
+++ b/src/test/java/honeygap/RulesTest.java
@@ -452,6 +452,58 @@
         assertEquals(failsOneIn == 0, ons >= 7, seen);
     }
 
+    /** A location that is lost breaks all that was out there at once: one event, not a verdict on its build. */
+    @Test
+    void lostLocation() {
+        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        for (int id = 0; id < 12; id++) {
+            agency.list(id, id < 6 ? agency.old : agency.fresh, id < 6 ? 0 : 1, 0, Appliance.UP, Rules.LONG_AGO);
+        }
+        agency.rules.told(agency.fresh, Build.ON_TRIAL, 1, 1, false, agency.now, 0);
+        agency.serve(60, 0, Pick.OK);
+        String said = "";
+        for (int i = 0; i < 40; i++) {
+            agency.after(10);
+            agency.take(2, null);
+            said += agency.pull();
+        }
+        for (Rpc rpc : agency.sent) {
+            if (rpc.out > 0) {
+                boolean isFresh = rpc.picks.get(0).build == agency.fresh;
+                agency.end(rpc, isFresh ? Pick.RESET : Pick.OK);
+                said += agency.pull();
+            }
+        }
+        assertFalse((said + agency.after(2 * SECOND).pull()).contains("vote" + Build.VOTE_BACK), said);
+    }
+
+    /** A sick appliance is left out also while the others of its build have no place: the other build has. */
+    @ParameterizedTest
+    @CsvSource({"3", "4"})
+    void sickAmongCold(int seed) {
+        Agency agency = Agency.one(seed, 14, Rules.BY_COUNT, 0);
+        for (int id = 0; id < 8; id++) {
+            agency.warm(id, agency.old);
+        }
+        agency.rules.told(agency.fresh, Build.ON_TRIAL, 1, 1, false, agency.now, 0);
+        agency.warm(8, agency.fresh);
+        int atSick = 0;
+        for (int i = 0; i < 200; i++) {
+            for (int id = 9; id < 12 && i % 40 == 0; id++) {
+                agency.list(id, agency.fresh, 0, 0, Appliance.UP, agency.now);
+            }
+            agency.after(200);
+            Rpc rpc = agency.take(2, null);
+            agency.pull();
+            if (rpc.out > 0) {
+                boolean isSick = rpc.picks.get(0).appliance.id == 8;
+                atSick += isSick ? 1 : 0;
+                agency.end(rpc, isSick ? Pick.ERROR : Pick.OK);
+            }
+        }
+        assertTrue(atSick <= 12, atSick + " picks at the sick one, seed " + seed);
+    }
+
     /** A key that was sent to the new build stays with it, whether the answer has come, could be read, or not. */
     @ParameterizedTest
     @CsvSource({"0", "3", "5", "6", "-1"})
