--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -43,8 +43,7 @@
     /** Times the least duration of a stage that a vote for it waits. */
     private static final double ON_SOAKS = 1.5;
     /** Picks of the stage that must have ended at the build for 'on', and waits after which none need. */
-    private static final int ENOUGH = 8;
-    private static final int UNSEEN_WAITS = 2;
+    private static final int ENOUGH = 8, UNSEEN_WAITS = 2;
     /** Times the usual past which an answer is an event of the second effect. */
     private static final double FAR_PAST = 3;
     /** What is kept of its new arm each second, and how many waits it must last to send a build back. */
@@ -74,8 +73,7 @@
     private static final double JAM_SHARE = 0.2;
     private static final double ROOM_CUT = 0.5;
     /** What is left of the room at first even in a jam; a new build's, against what warm appliances hold. */
-    private static final double ROOM_LEAST = 0.25;
-    private static final double TRIAL_START = 3;
+    private static final double ROOM_LEAST = 0.25, TRIAL_START = 3;
     /** Part of the soft deadline for which an RPC waits for a place before it is pushed back. */
     private static final double HELD = 0.05;
     /** How much of what a cold appliance can bear is used: chance, and work that was not foreseen. */
@@ -611,7 +609,9 @@
         if (desk.gate == AUTOMATIC) {
             return worse > HOLD_CHANCE ? Build.VOTE_HOLD : Build.VOTE_NONE;
         }
-        boolean good = Math.max(worse, worse(slowed)) <= HOLD_CHANCE && wrong.worse(TOLERATED) <= ON_CHANCE;
+        // With no earlier appliance up, a wait spares no RPC and shows little; it can go back after the release.
+        boolean doubtful = worse(slowed) > HOLD_CHANCE || wrong.worse(TOLERATED) > ON_CHANCE;
+        boolean good = worse <= HOLD_CHANCE && (!doubtful || earlier() == 0);
         return good && now >= onAfter() ? Build.VOTE_ON : Build.VOTE_NONE;
     }
 
--- a/src/main/java/honeygap/cli/Configured.java
+++ b/src/main/java/honeygap/cli/Configured.java
@@ -28,6 +28,8 @@
 /** A subcommand that makes an agent of its files: what is wrong with them is told and ends with exit code 2. */
 abstract class Configured implements Callable<Integer> {
 
+    static final String SERVE = "serve";
+
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
@@ -46,10 +48,21 @@
     /** How the log is written. */
     enum Form { text, json }
 
+    /** Where it writes and what it is called, where no command line was parsed. */
+    private PrintWriter plainOut, plainErr;
+
     private final List<Agent.Source> sources = new ArrayList<>();
     private Fields told;
     private FlagSheet sheet;
 
+    /** Without a command line: goes by this file, and writes there. */
+    final Configured plain(String file, PrintWriter out, PrintWriter err) {
+        config = file == null ? null : Path.of(file);
+        plainOut = out;
+        plainErr = err;
+        return this;
+    }
+
     /** The agent's loop, before anything is on it. */
     void made(Loop loop) throws IOException {
     }
@@ -89,7 +102,7 @@
                 protocols.add(protocol);
                 sources.add(() -> protocol.reread(FlagSheet.of(Template.read(flags))));
             }
-            run(new Agent(loop, protocols), spec.commandLine().getOut());
+            run(new Agent(loop, protocols), spec == null ? plainOut : spec.commandLine().getOut());
             return 0;
         } catch (Malformed e) {
             e.getMessage().lines().forEach(line -> fail(fileOf(e) + ": " + line));
@@ -108,7 +121,9 @@
     }
 
     private int fail(String why) {
-        spec.commandLine().getErr().println(spec.name() + ": " + why.lines().findFirst().orElse(""));
+        String name = spec == null ? SERVE : spec.name();
+        PrintWriter err = spec == null ? plainErr : spec.commandLine().getErr();
+        err.println(name + ": " + why.lines().findFirst().orElse(""));
         return 2;
     }
 
--- a/src/main/java/honeygap/cli/Main.java
+++ b/src/main/java/honeygap/cli/Main.java
@@ -12,7 +12,7 @@
         synopsisSubcommandLabel = "<subcommand>",
         description = "A proxy that tries out new builds on live traffic.",
         subcommands = {Serve.class, Check.class, Render.class, Standin.class,
-            CaptureCommand.class, Replay.class, Manage.class, Fleet.class,
+            CaptureCommand.class, Replay.class, Manage.class, Fleet.class, Rehearse.class,
             VersionCommand.class})
 public final class Main implements Runnable {
 
@@ -22,10 +22,6 @@
     private Main() {
     }
 
-    public static void main(String[] args) {
-        System.exit(run(args, System.in, System.out, System.err));
-    }
-
     static int run(String[] args, InputStream in, PrintStream out, PrintStream err) {
         return new CommandLine(new Main())
                 .addSubcommand(new Wirehost(in, out, err))
--- /dev/null
+++ b/src/main/java/honeygap/cli/Rehearse.java
@@ -0,0 +1,100 @@
+package honeygap.cli;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import honeygap.net.Agent;
+import honeygap.net.Loop;
+import honeygap.net.Queries;
+import honeygap.read.Fields;
+import honeygap.read.Malformed;
+import honeygap.standin.StoreServer;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.jar.JarFile;
+import picocli.CommandLine;
+
+/**
+ * Starts an agent on loopback, has it answer one RPC and ends: run by the build so that the runtime can write an
+ * archive of the classes that an agent needs, which saves each later start reading and checking them anew.
+ */
+@CommandLine.Command(name = "rehearse", mixinStandardHelpOptions = true,
+        description = "Start an agent on loopback, let it answer one RPC and end: the build archives its classes so.")
+final class Rehearse implements Callable<Integer> {
+
+    private static final int WAIT_MS = 5000;
+    /** What an agent runs; the rest of the jar is for other subcommands. */
+    private static final List<String> PARTS = List.of("honeygap/Rules", "honeygap/Ctl", "honeygap/fleet/",
+            "honeygap/net/", "honeygap/read/", "honeygap/cli/Serve", "honeygap/cli/Configured", "honeygap/cli/Start");
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public Integer call() throws IOException, Malformed, ReflectiveOperationException {
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        InetSocketAddress store = new StoreServer(any).address();
+        Loop loop = new Loop();
+        Agent agent = new Agent(loop, List.of(new Queries(loop, told(store.getPort()))));
+        agent.start();
+        try (Socket client = new Socket(any.getAddress(), agent.address(0).getPort())) {
+            client.setSoTimeout(WAIT_MS);
+            OutputStream out = client.getOutputStream();
+            out.write(message(0, "\0\3\0\0user\0backend\0database\0store\0\0"));
+            out.write(message('Q', "SELECT content FROM kv WHERE name = 'k1' /* id=1,c=look,t=t,d=2000 */\0"));
+            InputStream in = client.getInputStream();
+            int type = in.read();
+            while (type >= 0 && type != 'C' && type != 'E') {
+                type = in.read();
+            }
+        }
+        int loaded = load();
+        agent.end();
+        spec.commandLine().getOut().println("rehearsed, " + loaded + " classes of the agent");
+        return 0;
+    }
+
+    private static byte[] message(int type, String body) {
+        String head = type == 0 ? "" : String.valueOf((char) type);
+        int length = body.length() + 4;
+        return (head + "\0\0\0" + (char) length + body).getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static int load() throws IOException, ReflectiveOperationException {
+        int loaded = 0;
+        Path jar = Path.of(Main.class.getProtectionDomain().getCodeSource().getLocation().getPath());
+        try (JarFile file = new JarFile(jar.toFile())) {
+            for (String name : file.stream().map(entry -> entry.getName()).sorted().toList()) {
+                if (name.endsWith(".class") && PARTS.stream().anyMatch(name::startsWith)) {
+                    Class.forName(name.substring(0, name.length() - 6).replace('/', '.'));
+                    loaded++;
+                }
+            }
+        }
+        return loaded;
+    }
+
+    private static Fields told(int port) throws IOException, Malformed {
+        String json = """
+                {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1", "limits": {"sockets": 256},
+                 "rollouts": {"address": "127.0.0.1:1", "news": {"Revision": 2, "Wave": 0, "State": "Progressing",
+                  "MaxShare": 0.5, "AgeMs": 10}},
+                 "known": {"index": 1, "snapshot": true, "endpoints": [{"name": "one", "address": "127.0.0.1:%d",
+                  "zone": "a", "type": "m", "group": 1, "status": "SERVING", "since_ms": 0, "release": 1}]},
+                 "settings": {"TickNs": 1000000, "FleetSize": 1, "RegistryMode": "ask",
+                  "Classes": [{"Name": "look", "AimNs": 500000000, "GiveUpNs": 2000000000, "Effect": "read_like"}],
+                  "Accounts": [{"Name": "t", "QuotaPerS": 100.0, "Share": 1.0}], "Ceilings": {"MaxAttempts": 3},
+                  "Rules": {"MustAskInNs": 10000000000}, "FamilyInfo": {"GateMode": "by_count"}}}
+                """.formatted(port);
+        try (JsonParser parser = new JsonFactory().createParser(json)) {
+            return Fields.document(parser);
+        }
+    }
+}
--- a/src/main/java/honeygap/cli/Serve.java
+++ b/src/main/java/honeygap/cli/Serve.java
@@ -17,7 +17,7 @@
 import org.tinylog.Logger;
 import picocli.CommandLine;
 
-@CommandLine.Command(name = "serve", mixinStandardHelpOptions = true,
+@CommandLine.Command(name = Configured.SERVE, mixinStandardHelpOptions = true,
         description = "Run one agent on sockets. On SIGHUP it reads its files again: the list, the desk and the flag"
                 + " servers are those named there from then on.")
 final class Serve extends Configured {
--- /dev/null
+++ b/src/main/java/honeygap/cli/Start.java
@@ -0,0 +1,24 @@
+package honeygap.cli;
+
+import java.io.PrintWriter;
+
+/**
+ * Where the program begins. An agent that is told all by its environment starts without the parser of command lines:
+ * with nothing to parse, that and the subcommands which it reads would be a third of the start, and after trouble
+ * many agents start at once.
+ */
+public final class Start {
+
+    private Start() {
+    }
+
+    public static void main(String[] args) throws InterruptedException {
+        System.exit(args.length == 1 && args[0].equals(Configured.SERVE) ? plain()
+                : Main.run(args, System.in, System.out, System.err));
+    }
+
+    private static int plain() throws InterruptedException {
+        return new Serve().plain(System.getenv("PROXY_CONFIG"), new PrintWriter(System.out, true),
+                new PrintWriter(System.err, true)).call();
+    }
+}
--- a/src/main/java/honeygap/net/Queries.java
+++ b/src/main/java/honeygap/net/Queries.java
@@ -27,7 +27,7 @@
     /** Clients hold at most this part of the descriptors for RPCs; half of it is kept free for new ones. */
     private static final int CLIENTS_PART = 3;
     /** For so long, in milliseconds, the code is warmed up before the agent listens. */
-    private static final long REHEARSED_MS = 300;
+    private static final long REHEARSED_MS = 50;
 
     private final Loop loop;
     private final Core core;
--- a/src/test/java/honeygap/RulesTest.java
+++ b/src/test/java/honeygap/RulesTest.java
@@ -477,6 +477,36 @@
         assertFalse((said + agency.after(2 * SECOND).pull()).contains("vote" + Build.VOTE_BACK), said);
     }
 
+    /** Doubt keeps a build from going on only while an earlier appliance is up, for which a wait spares RPCs. */
+    @ParameterizedTest
+    @CsvSource({"true,4,''", "false,3,vote1"})
+    void doubtWhileEarlierIsUp(boolean isUp, int failures, String then) {
+        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        for (int id = 0; id < 8; id++) {
+            agency.warm(id, id < 4 ? agency.old : agency.fresh);
+        }
+        agency.rules.told(agency.fresh, Build.ON_TRIAL, 1, 1, false, agency.now, 0);
+        agency.serve(60, 2, Pick.OK);
+        for (int id = 0; id < 4 && !isUp; id++) {
+            agency.list(id, agency.old, 0, 0, Appliance.GONE, Rules.LONG_AGO);
+        }
+        int failed = 0;
+        for (int i = 0; i < 12 || failed < failures && i < 400; i++) {
+            agency.after(2 * SECOND / 10);
+            Rpc rpc = agency.take(2, null);
+            agency.pull();
+            boolean fails = failed < failures && rpc.out > 0 && rpc.picks.get(0).appliance.id == 4 + failed;
+            failed += fails ? 1 : 0;
+            if (rpc.out > 0) {
+                agency.end(rpc, fails ? Pick.ERROR : Pick.OK);
+            }
+            agency.pull();
+        }
+        agency.rules.told(agency.fresh, Build.ON_TRIAL, 1, 1, true, agency.now - 9 * SECOND, 7);
+        agency.rules.told(agency.fresh, Build.ON_TRIAL, 1, 1, false, agency.now - 9 * SECOND, 0);
+        assertEquals(then, agency.after(8 * SECOND).pull().replace("vote0", ""));
+    }
+
     /** A sick appliance is left out also while the others of its build have no place: the other build has. */
     @ParameterizedTest
     @CsvSource({"3", "4"})
