A build that takes over the traffic is not charged for failures that come at all builds

Counted: 3% of all answers are spoilt, of both builds alike; the new build went from a fifth of the traffic to all within a second, and the risk sets kept 0.8 a second, so the earlier build's arm outlived it. Ruled out: sick appliances and lost locations (errors 0 to 3 in five seconds). Line at fault: rates(), the fade by time. Change: each pick that ends fades the sets, so they hold the last 64 of a method.

--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -48,8 +48,6 @@
     private static final double FAR_PAST = 3;
     /** What is kept of its new arm each second, and how many waits it must last to send a build back. */
     private static final double SLOWED_KEPT = 0.5;
-    /** What is kept each second of the picks that have ended, as a risk set. */
-    private static final double ENDED_KEPT = 0.8;
     private static final int SLOWED_WAITS = 2;
     /** Times the RPCs taken when the build came, beyond which slowness is the traffic's, not the build's. */
     private static final double BURST = 1.5;
@@ -428,6 +426,8 @@
         // Slow picks swell the risk set in flight, and of many agents each has few out: set against the
         // picks that ended lately a build that fails shows sooner. With no earlier build up, all that these
         // did since the trial began stands in. Harm: errors that begin elsewhere just then.
+        // The last 64 or so: longer, and a build that takes over the traffic would be charged for its share.
+        builds.forEach(build -> build.ended[method] *= 1 - FADE / 2);
         pick.build.ended[method]++;
         double ended = builds.stream().mapToDouble(build -> build == fitted ? 0 : build.ended[method]).sum();
         boolean alone = earlier() == 0;
@@ -724,7 +724,6 @@
             warmRate += (warmRate > 0 ? RATE_FADE : 1) * (rate - warmRate);
         }
         slowed.fade(SLOWED_KEPT);
-        builds.forEach(build -> Arrays.setAll(build.ended, i -> ENDED_KEPT * build.ended[i]));
         firstRate += RATE_FADE * (first * (double) SECOND / (now - rateSince) - firstRate);
         first = 0;
         warmWork = 0;
--- a/src/test/java/honeygap/RulesTest.java
+++ b/src/test/java/honeygap/RulesTest.java
@@ -478,6 +478,38 @@
         assertFalse((said + agency.after(2 * SECOND).pull()).contains("vote" + Build.VOTE_BACK), said);
     }
 
+    /** A build that takes over the traffic within a second or two is not charged for the failures that come with it. */
+    @ParameterizedTest
+    @CsvSource({"1", "2", "3", "4"})
+    void takingOver(int seed) {
+        Agency agency = new Agency(seed, 3, new Rules.Tries(1, true, SECOND / 2),
+                new Rules.Listing(false, 10 * SECOND),
+                new Rules.Desk(Rules.BY_COUNT, 6 * SECOND, SECOND, SECOND, 3, 30, 0),
+                new Rules.Exposure(new double[] {0.1, 1}, new double[] {0.1, 1}, 2 * SECOND, 1, false, 0, true), 0);
+        agency.rules.told(agency.fresh, Build.ON_TRIAL, 0, 0.1, false, agency.now, 0);
+        for (int id = 0; id < 24; id++) {
+            agency.warm(id, id < 20 ? agency.old : agency.fresh);
+        }
+        Random random = new Random(seed);
+        String said = "";
+        for (int i = 0; i < 1500; i++) {
+            // From the 500th on one of the old goes every eight RPCs, but the last, for which a new one comes.
+            if (i == 500) {
+                agency.rules.told(agency.fresh, Build.ON_TRIAL, 1, 1, false, agency.now, 0);
+            }
+            if (i >= 500 && i % 8 == 0 && i < 500 + 8 * 19) {
+                agency.list((i - 500) / 8, agency.old, 0, 0, Appliance.GONE, Rules.LONG_AGO);
+                agency.warm(30 + i, agency.fresh);
+            }
+            agency.after(40);
+            Rpc rpc = agency.take(2, null);
+            said += agency.pull();
+            agency.end(rpc, random.nextInt(12) == 0 ? Pick.ERROR : Pick.OK);
+            said += agency.pull();
+        }
+        assertFalse(said.contains("vote" + Build.VOTE_BACK), "sent back, seed " + seed);
+    }
+
     /** A dozen choices in a row go round among a few appliances, whatever the seed. */
     @ParameterizedTest
     @CsvSource({"1", "2", "3", "4", "5", "6", "7", "8", "9"})
