Captures: the rest of an answer behind a hole is no answer to a later statement

Printed: an RPC served by 'C SELECT 1' alone, whose row was left out of a ring that is too small; its chunk stands behind the hole by one. Ruled out: order of holes on the two sides, runs delivered in pieces (a run is one chunk). Line at fault: PgConversation.isAnswer asked only for whole messages up to 'ready'. Now the first must begin an answer.

--- a/src/main/java/honeygap/capture/message/PgConversation.java
+++ b/src/main/java/honeygap/capture/message/PgConversation.java
@@ -22,6 +22,8 @@
     private static final int LONGEST_STARTUP = 10_000;
     private static final int MOST_OPEN = 1024;
     private static final String SERVER_TYPES = "RSKTDCEIZN";
+    /** What an answer begins with: the description of a row, an error, or the word that nothing was asked. */
+    private static final String FIRST_TYPES = "TEI";
 
     private enum Stage { START, MESSAGES, LOST, DARK }
 
@@ -70,9 +72,15 @@
         return new Statement().read(all.slice(5, all.remaining() - 5));
     }
 
-    /** Whether a chunk is one whole answer, the last message of which says ready. */
+    /**
+     * Whether a chunk is one whole answer, from its first message to the last, which says ready. Guards against the
+     * rest of an answer behind a hole, which would be taken for the answer to a later statement.
+     */
     private static boolean isAnswer(byte[] bytes) {
         ByteBuffer all = ByteBuffer.wrap(bytes);
+        if (bytes.length == 0 || FIRST_TYPES.indexOf(bytes[0]) < 0) {
+            return false;
+        }
         int at = 0;
         while (at + 5 <= bytes.length) {
             int length = all.getInt(at + 1);
--- a/src/test/java/honeygap/capture/StreamsTest.java
+++ b/src/test/java/honeygap/capture/StreamsTest.java
@@ -8,6 +8,7 @@
 import honeygap.capture.file.Packet;
 import honeygap.capture.file.Synthesis;
 import honeygap.capture.message.Conversations;
+import honeygap.capture.message.PgConversation;
 import honeygap.capture.message.Spoken;
 import honeygap.capture.packet.Address;
 import honeygap.capture.packet.Decoder;
@@ -430,4 +431,32 @@
             }
         }
     }
+
+    /** The rest of an answer behind a hole, in a chunk of its own, is no answer to what is open then. */
+    @ParameterizedTest
+    @CsvSource({"true,'[1 torn, 2 open]'", "false,'[1 torn, 2 failed]'"})
+    void restOfAnAnswer(boolean isRest, String then) {
+        List<String> heard = new ArrayList<>();
+        PgConversation conversation = new PgConversation(false, Spoken::new,
+                one -> heard.add(one.id + " " + one.outcome), new HashMap<>());
+        for (int id = 1; id <= 2; id++) {
+            conversation.data(true, bytes("Q", "SELECT content FROM kv WHERE name = 'k' /* id=" + id
+                    + ",c=look,t=acme,d=500 */\0"), id);
+            if (id == 1) {
+                conversation.hole(false, 20);
+                conversation.data(false, bytes("D", "\0\0"), id);
+            }
+        }
+        byte[] first = isRest ? bytes("C", "SELECT 1\0") : bytes("E", "SERROR\0CXX000\0Mno\0\0");
+        byte[] last = bytes("Z", "I");
+        byte[] chunk = java.util.Arrays.copyOf(first, first.length + last.length);
+        System.arraycopy(last, 0, chunk, first.length, last.length);
+        conversation.data(false, chunk, 3);
+        conversation.over();
+        assertEquals(then, heard.toString());
+    }
+
+    private static byte[] bytes(String type, String body) {
+        return (type + "\0\0\0" + (char) (body.length() + 4) + body).getBytes(StandardCharsets.ISO_8859_1);
+    }
 }
