--- a/src/main/java/honeygap/capture/message/PgConversation.java
+++ b/src/main/java/honeygap/capture/message/PgConversation.java
@@ -196,6 +196,8 @@
             serverHeld = false;
             if (wasHeld || client == Stage.LOST || !isAnswer(rest) || open.size() != 1) {
                 count("chunks passed over");
+                // It may have been the answer to what is open, which the next one is not.
+                tear();
                 return;
             }
             server = Stage.MESSAGES;
--- a/src/main/java/honeygap/cli/Rehearse.java
+++ b/src/main/java/honeygap/cli/Rehearse.java
@@ -15,6 +15,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -70,6 +71,9 @@
     private static int load() throws IOException, ReflectiveOperationException {
         int loaded = 0;
         Path jar = Path.of(Main.class.getProtectionDomain().getCodeSource().getLocation().getPath());
+        if (!Files.isRegularFile(jar)) {
+            return 0;    // Classes of a folder go into no archive.
+        }
         try (JarFile file = new JarFile(jar.toFile())) {
             for (String name : file.stream().map(entry -> entry.getName()).sorted().toList()) {
                 if (name.endsWith(".class") && PARTS.stream().anyMatch(name::startsWith)) {
