--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -990,9 +990,9 @@
         old.removeAll(fresh);
         int latest = old.stream().mapToInt(appliance -> appliance.build.number).max().orElse(0);
         old.removeIf(appliance -> appliance.build.number < latest);    // After the release: the newer.
-        boolean none = healthy(rpc, old).isEmpty() && healthy(rpc, fresh).isEmpty();
-        Appliance ofOld = lighter(none ? old : healthy(rpc, old));
-        Appliance ofNew = lighter(none ? fresh : healthy(rpc, fresh));
+        List<Appliance> bestOld = healthy(rpc, old), bestNew = healthy(rpc, fresh);
+        boolean none = bestOld.isEmpty() && bestNew.isEmpty();
+        Appliance ofOld = lighter(none ? old : bestOld), ofNew = lighter(none ? fresh : bestNew);
         if (ofOld == null || ofNew == null) {
             return ofOld == null ? ofNew : ofOld;
         }
