--- a/src/main/java/honeygap/cli/Rehearse.java
+++ b/src/main/java/honeygap/cli/Rehearse.java
@@ -5,16 +5,16 @@
 import honeygap.net.Agent;
 import honeygap.net.Loop;
 import honeygap.net.Queries;
+import honeygap.net.pg.Words;
 import honeygap.read.Fields;
 import honeygap.read.Malformed;
 import honeygap.standin.StoreServer;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
+import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -47,9 +47,8 @@
         agent.start();
         try (Socket client = new Socket(any.getAddress(), agent.address(0).getPort())) {
             client.setSoTimeout(WAIT_MS);
-            OutputStream out = client.getOutputStream();
-            out.write(message(0, "\0\3\0\0user\0backend\0database\0store\0\0"));
-            out.write(message('Q', "SELECT content FROM kv WHERE name = 'k1' /* id=1,c=look,t=t,d=2000 */\0"));
+            write(client, Words.startup());
+            write(client, Words.query("SELECT content FROM kv WHERE name = 'k1' /* id=1,c=look,t=t,d=2000 */"));
             InputStream in = client.getInputStream();
             int type = in.read();
             while (type >= 0 && type != 'C' && type != 'E') {
@@ -62,10 +61,10 @@
         return 0;
     }
 
-    private static byte[] message(int type, String body) {
-        String head = type == 0 ? "" : String.valueOf((char) type);
-        int length = body.length() + 4;
-        return (head + "\0\0\0" + (char) length + body).getBytes(StandardCharsets.ISO_8859_1);
+    private static void write(Socket client, ByteBuffer message) throws IOException {
+        byte[] bytes = new byte[message.remaining()];
+        message.duplicate().get(bytes);
+        client.getOutputStream().write(bytes);
     }
 
     private static int load() throws IOException, ReflectiveOperationException {
