--- a/src/main/java/honeygap/cli/Serve.java
+++ b/src/main/java/honeygap/cli/Serve.java
@@ -122,8 +122,12 @@
                         task.run();
                         return null;
                     });
-            signal.getMethod("handle", signal, handler).invoke(null,
+            Object before = signal.getMethod("handle", signal, handler).invoke(null,
                     signal.getConstructor(String.class).newInstance("HUP"), told);
+            // The runtime takes the handler and drops it where the signal was ignored at the start, as under nohup.
+            if (before == handler.getField("SIG_IGN").get(null)) {
+                Logger.warn("SIGHUP is ignored by whoever started this process: new configurations go unheard");
+            }
         } catch (ReflectiveOperationException e) {
             Logger.warn(e, "SIGHUP can't be heard here");
         }
--- a/src/main/java/honeygap/fleet/Appliance.java
+++ b/src/main/java/honeygap/fleet/Appliance.java
@@ -34,4 +34,13 @@
     public Appliance(long id) {
         this.id = id;
     }
+
+    /** A fresh start under an old id: nothing known of it holds. */
+    public void renew() {
+        pace = 1;
+        failing = 0;
+        silent = 0;
+        awayUntil = Fleet.LONG_AGO;
+        barredUntil = Fleet.LONG_AGO;
+    }
 }
--- a/src/main/java/honeygap/fleet/Method.java
+++ b/src/main/java/honeygap/fleet/Method.java
@@ -1,5 +1,7 @@
 package honeygap.fleet;
 
+import java.util.ArrayDeque;
+
 /** One method that clients call, and what its answers have taken so far. */
 public final class Method {
 
@@ -29,6 +31,8 @@
     /** When an RPC of it last found no place. */
     public long fullAt = Long.MIN_VALUE / 2;
     public long taken;
+    /** When RPCs of it were taken, or of all methods where exposure counts them together, oldest first. */
+    public final ArrayDeque<Long> takenAt = new ArrayDeque<>();
     /** Mean hint of the work of its RPCs; 0 where there are no hints. */
     public double work;
 
--- a/src/main/java/honeygap/fleet/Pick.java
+++ b/src/main/java/honeygap/fleet/Pick.java
@@ -29,5 +29,22 @@
         this.zone = appliance.zone;
         this.sentAt = sentAt;
         this.cold = cold;
+        rpc.picks.add(this);
+        count(1);
+        zone.sentAt = sentAt;
+    }
+
+    public void end(int outcome) {
+        this.outcome = outcome;
+        count(-1);
+    }
+
+    private void count(int one) {
+        rpc.out += one;
+        build.room.out += one;
+        appliance.room.out += one;
+        zone.out += one;
+        build.inFlight[rpc.method.index] += one;
+        build.warmInFlight[rpc.method.index] += cold ? 0 : one;
     }
 }
--- a/src/main/java/honeygap/fleet/Room.java
+++ b/src/main/java/honeygap/fleet/Room.java
@@ -8,6 +8,8 @@
     public double least;
     public int appliances;
     public int out;
+    /** Share of the answers that lately came late. */
+    public double late;
     /** With room for less than one pick: no further one until then. */
     public long restUntil = Long.MIN_VALUE / 2;
 
--- a/src/main/java/honeygap/net/Flags.java
+++ b/src/main/java/honeygap/net/Flags.java
@@ -7,6 +7,7 @@
 import honeygap.flags.Limits;
 import honeygap.flags.Versions;
 import honeygap.fleet.Build;
+import honeygap.fleet.Fleet;
 import honeygap.fleet.Pick;
 import honeygap.net.askers.Askers;
 import honeygap.net.desk.Ballots;
@@ -57,7 +58,7 @@
         named = new Named(rules, links, core::build);
         registry = sheet.list == null ? null
                 : new Registry(loop, rules, links, core::build, sheet.list, sheet.askWithin);
-        house = sheet.desk == null ? new House(sheet.caps, Rules.LONG_AGO) : null;
+        house = sheet.desk == null ? new House(sheet.caps, Fleet.LONG_AGO) : null;
         News news = new News(loop, rules, core::build, Map.of("one", sheet.methods.get(0), "all",
                 sheet.methods.get(1), "track", sheet.methods.get(2), "tracked", sheet.methods.get(3)));
         ballots = house != null ? null : new Ballots(loop, rules, news, sheet.desk, sheet.callTimeout);
--- a/src/main/java/honeygap/net/Rehearsal.java
+++ b/src/main/java/honeygap/net/Rehearsal.java
@@ -4,6 +4,7 @@
 import honeygap.Rules;
 import honeygap.fleet.Appliance;
 import honeygap.fleet.Build;
+import honeygap.fleet.Fleet;
 import honeygap.fleet.Location;
 import honeygap.fleet.Method;
 import honeygap.fleet.Pick;
@@ -44,7 +45,7 @@
         Location location = new Location();
         for (int i = 0; i < APPLIANCES; i++) {
             rules.listed(new Appliance(i), i % 2 == 0 ? earlier : trial, location, 0, Appliance.UP,
-                    Rules.LONG_AGO);
+                    Fleet.LONG_AGO);
         }
         rules.listEnds();
         rules.told(trial, Build.ON_TRIAL, 0, 1, false, 0, Pick.OK);
--- a/src/main/java/honeygap/net/list/Named.java
+++ b/src/main/java/honeygap/net/list/Named.java
@@ -3,6 +3,7 @@
 import honeygap.Rules;
 import honeygap.fleet.Appliance;
 import honeygap.fleet.Build;
+import honeygap.fleet.Fleet;
 import honeygap.fleet.Location;
 import honeygap.net.Back;
 import honeygap.net.Core;
@@ -62,7 +63,7 @@
             boolean isNew = remote == null;
             if (isNew) {
                 remote = (Remote) back.appliance(named++);
-                remote.startedAt = isFirst ? Rules.LONG_AGO : now;
+                remote.startedAt = isFirst ? Fleet.LONG_AGO : now;
                 remotes.put(server.name(), remote);
             } else if (remote.build != build || !server.address().equals(remote.address)) {
                 back.dropIdle(remote);
--- a/src/main/java/honeygap/net/list/Registry.java
+++ b/src/main/java/honeygap/net/list/Registry.java
@@ -5,6 +5,7 @@
 import honeygap.Rules;
 import honeygap.fleet.Appliance;
 import honeygap.fleet.Build;
+import honeygap.fleet.Fleet;
 import honeygap.fleet.Location;
 import honeygap.net.Back;
 import honeygap.net.Core;
@@ -166,7 +167,7 @@
         InetSocketAddress at = state == Appliance.GONE && !entry.has("address") ? null
                 : entry.address("address");
         long since = entry.has("since_ms") ? Math.round(entry.number("since_ms")) : 0;
-        long startedAt = since == 0 ? Rules.LONG_AGO : 10 * (since - zeroMs);
+        long startedAt = since == 0 ? Fleet.LONG_AGO : 10 * (since - zeroMs);
         int release = entry.has("release") ? entry.rounded("release") : 0;
         String zone = entry.text("zone", "");
         int cell = entry.has("group") ? entry.rounded("group") : 0;
--- a/src/main/java/honeygap/read/Deployment.java
+++ b/src/main/java/honeygap/read/Deployment.java
@@ -2,6 +2,11 @@
 
 import honeygap.Rules;
 import honeygap.fleet.Method;
+import honeygap.terms.Cold;
+import honeygap.terms.Desk;
+import honeygap.terms.Exposure;
+import honeygap.terms.Listing;
+import honeygap.terms.Tries;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -27,19 +32,19 @@
         Fields family = info.part("FamilyInfo");
         Fields guards = info.part("Rules");
         return new Rules(now, seed, info.index("FleetSize", 1), info.tenths("TickNs"), methods,
-                new Rules.Tries(ceilings.index("MaxAttempts", 1), ceilings.flag("RetryAfter", false),
+                new Tries(ceilings.index("MaxAttempts", 1), ceilings.flag("RetryAfter", false),
                         ceilings.tenths("MaxRetryAfterNs", 0)),
-                new Rules.Listing(info.text("RegistryMode", "push").equals("ask"),
+                new Listing(info.text("RegistryMode", "push").equals("ask"),
                         guards.tenths("MustAskInNs", 0)),
-                new Rules.Cold(guards.number("ColdFrom", 1), guards.tenths("WarmAfterNs", 0),
+                new Cold(guards.number("ColdFrom", 1), guards.tenths("WarmAfterNs", 0),
                         guards.number("FallMultiple", 1), guards.tenths("TipAfterNs", 0)),
-                new Rules.Desk(gate(family.text("GateMode", "first_voice")),
+                new Desk(gate(family.text("GateMode", "first_voice")),
                         family.tenths("VoteStandsNs", 0), family.tenths("SoakNs", 20_000),
                         family.tenths("CallTimeoutNs", 0),
                         family.index("NoesNeeded", 1), family.number("VotesPerS", 1),
-                        family.has("TallyEveryNs") && family.whole("TallyEveryNs") > 0
-                                ? family.number("SampledShare", 0) : 0),
-                new Rules.Exposure(family.has("Caps") ? family.numbers("Caps") : new double[0],
+                        family.tenths("TallyEveryNs", 0) > 0 ? family.number("SampledShare", 0) : 0,
+                        family.tenths("TallyEveryNs", 0)),
+                new Exposure(family.has("Caps") ? family.numbers("Caps") : new double[0],
                         family.has("Waves") ? family.numbers("Waves") : new double[0],
                         family.tenths("WindowNs", 0), family.number("Uncounted", 0),
                         family.text("CapScope", "all").equals("each_class"), family.index("Shielded", 0),
@@ -75,11 +80,11 @@
     private static int gate(String word) throws Malformed {
         switch (word) {
             case "first_voice":
-                return Rules.FIRST_VOICE;
+                return Desk.FIRST_VOICE;
             case "by_count":
-                return Rules.BY_COUNT;
+                return Desk.BY_COUNT;
             case "automatic":
-                return Rules.AUTOMATIC;
+                return Desk.AUTOMATIC;
             default:
                 throw new Malformed("unknown GateMode " + word);
         }
--- a/src/main/java/honeygap/read/FlagSheet.java
+++ b/src/main/java/honeygap/read/FlagSheet.java
@@ -4,6 +4,11 @@
 import honeygap.flags.Allowance;
 import honeygap.fleet.Appliance;
 import honeygap.fleet.Method;
+import honeygap.terms.Cold;
+import honeygap.terms.Desk;
+import honeygap.terms.Exposure;
+import honeygap.terms.Listing;
+import honeygap.terms.Tries;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -45,9 +50,9 @@
     public final double[] caps;
     private final int agents;
     private final int tries;
-    private final Rules.Cold cold;
-    private final Rules.Exposure exposure;
-    private final Rules.Desk voting;
+    private final Cold cold;
+    private final Exposure exposure;
+    private final Desk voting;
 
     private FlagSheet(Sheet sheet) {
         name = sheet.text("name", "");
@@ -116,12 +121,12 @@
         if (caps.length == 0) {
             rollout.fault("caps", "a list with a share for each stage");
         }
-        exposure = new Rules.Exposure(caps, rollout.numbers("waves", caps, 0, 1), rollout.duration("window", "10s"),
+        exposure = new Exposure(caps, rollout.numbers("waves", caps, 0, 1), rollout.duration("window", "10s"),
                 rollout.number("uncounted", 1, 0, 1e6), false, (int) rollout.whole("guarded", 1, 0, 100), false);
-        voting = new Rules.Desk(Rules.BY_COUNT, stands, rollout.duration("soak", "30s"), callTimeout, noes, votes, 0);
+        voting = new Desk(Desk.BY_COUNT, stands, rollout.duration("soak", "30s"), callTimeout, noes, votes, 0, 0);
         rollout.end();
         Sheet start = sheet.part("cold");
-        cold = new Rules.Cold(start.number("from", 1, 0.01, 1), start.duration("warmAfter", "0ms"),
+        cold = new Cold(start.number("from", 1, 0.01, 1), start.duration("warmAfter", "0ms"),
                 start.number("fallMultiple", 2, 1, 100), start.duration("tipAfter", "1s"));
         start.end();
         sheet.end();
@@ -156,7 +161,7 @@
 
     /** The decision module for flags. */
     public Rules rules(long now, long seed) {
-        return new Rules(now, seed, agents, step, methods, new Rules.Tries(tries, true, retryAfterMost),
-                new Rules.Listing(list != null, askWithin), cold, voting, exposure);
+        return new Rules(now, seed, agents, step, methods, new Tries(tries, true, retryAfterMost),
+                new Listing(list != null, askWithin), cold, voting, exposure);
     }
 }
--- /dev/null
+++ b/src/main/java/honeygap/share/member/Peer.java
@@ -0,0 +1,39 @@
+package honeygap.share.member;
+
+import honeygap.manage.Suspicion;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Another process as this one sees it. */
+public final class Peer {
+
+    /** What this process makes of it. */
+    public enum Standing { ALIVE, SUSPECT, DEAD, LEFT }
+
+    public final String name;
+    public String address = "";
+    public String site = "";
+    /** It raises this to refute a suspicion; an accusation holds for the incarnation that it names. */
+    public long generation;
+    public long incarnation;
+    Standing standing = Standing.ALIVE;
+    /** When it was suspected, and who says so of this incarnation, with when that was heard. */
+    long suspectedAt;
+    final Map<String, Long> accusers = new LinkedHashMap<>();
+    /** Direct and indirect probes in a row that brought nothing. */
+    int missed;
+    Suspicion signs;
+    long lastSign;
+    /** When it wrote the newest that has come of it. */
+    long wroteAt = Long.MIN_VALUE / 2;
+    /** Until then its name was seen in two lives that both went on: neither is believed. */
+    long doubtedUntil = Long.MIN_VALUE / 2;
+
+    Peer(String name) {
+        this.name = name;
+    }
+
+    public Standing standing() {
+        return standing;
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/share/table/Parcel.java
@@ -0,0 +1,14 @@
+package honeygap.share.table;
+
+import java.util.List;
+
+/**
+ * Entries of one owner on their way to another process, older counts first, with the age of each.
+ *
+ * @param from the count up to which the other had heard: to one that has not, this parcel says too little
+ */
+public record Parcel(String owner, long generation, long from, List<Aged> entries) {
+
+    /** The age is the time since its writing, in tenths of a millisecond: clocks need not agree. */
+    public record Aged(Entry entry, long age) { }
+}
--- a/src/main/java/honeygap/wire/Agent.java
+++ b/src/main/java/honeygap/wire/Agent.java
@@ -5,6 +5,7 @@
 import honeygap.Rules;
 import honeygap.fleet.Appliance;
 import honeygap.fleet.Build;
+import honeygap.fleet.Fleet;
 import honeygap.fleet.Location;
 import honeygap.fleet.Method;
 import honeygap.fleet.Rpc;
@@ -123,7 +124,7 @@
             rules.listed(appliance(entry.whole("Appliance")), build(entry.rounded("Edition")),
                     location(entry.index("RegionPart", 0)), entry.index("Pack", 0),
                     state(entry.text("Availability")),
-                    entry.whole("LastStartNs", 0) == 0 ? Rules.LONG_AGO : entry.tenths("LastStartNs"));
+                    entry.whole("LastStartNs", 0) == 0 ? Fleet.LONG_AGO : entry.tenths("LastStartNs"));
         }
         rules.listEnds();
     }
--- a/src/test/java/honeygap/Agency.java
+++ b/src/test/java/honeygap/Agency.java
@@ -3,9 +3,15 @@
 import honeygap.fleet.Appliance;
 import honeygap.fleet.Build;
 import honeygap.fleet.Location;
+import honeygap.fleet.Fleet;
 import honeygap.fleet.Method;
 import honeygap.fleet.Rpc;
 import honeygap.fleet.Tenant;
+import honeygap.terms.Cold;
+import honeygap.terms.Desk;
+import honeygap.terms.Exposure;
+import honeygap.terms.Listing;
+import honeygap.terms.Tries;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -28,13 +34,13 @@
     Tenant tenant = new Tenant();
     private int rpcs;
 
-    Agency(long seed, int agents, Rules.Tries tries, Rules.Listing listing, Rules.Desk desk,
-           Rules.Exposure exposure, int scope) {
+    Agency(long seed, int agents, Tries tries, Listing listing, Desk desk,
+           Exposure exposure, int scope) {
         for (int effect = 0; effect < 3; effect++) {
             methods.add(new Method(effect, effect, scope, 2 * SECOND, SECOND, 3 * SECOND, 1, 0));
         }
         rules = new Rules(now, seed, agents, 50, methods, tries, listing,
-                new Rules.Cold(0.4, 4 * SECOND, 2.5, SECOND), desk, exposure);
+                new Cold(0.4, 4 * SECOND, 2.5, SECOND), desk, exposure);
         rules.told(old, Build.RELEASED, 0, 1, false, now, 0);
     }
 
@@ -45,10 +51,10 @@
 
     /** One of so many agents, each with a seed of its own. */
     static Agency one(long seed, int agents, int gate, int scope) {
-        return new Agency(seed, agents, new Rules.Tries(3, true, SECOND / 2),
-                new Rules.Listing(false, 10 * SECOND),
-                new Rules.Desk(gate, 6 * SECOND, 2 * SECOND, SECOND, 1, 30, 1),
-                new Rules.Exposure(new double[] {0.2, 1}, new double[] {0.2, 1}, 2 * SECOND, 1, false, 1,
+        return new Agency(seed, agents, new Tries(3, true, SECOND / 2),
+                new Listing(false, 10 * SECOND),
+                new Desk(gate, 6 * SECOND, 2 * SECOND, SECOND, 1, 30, 1, 2 * SECOND),
+                new Exposure(new double[] {0.2, 1}, new double[] {0.2, 1}, 2 * SECOND, 1, false, 1,
                         true), scope);
     }
 
@@ -65,7 +71,7 @@
     }
 
     Appliance warm(int id, Build build) {
-        return list(id, build, 0, 0, Appliance.UP, Rules.LONG_AGO);
+        return list(id, build, 0, 0, Appliance.UP, Fleet.LONG_AGO);
     }
 
     Agency after(long time) {
--- a/src/test/java/honeygap/ArchitectureTest.java
+++ b/src/test/java/honeygap/ArchitectureTest.java
@@ -25,10 +25,25 @@
 
     @Test
     void decisionsKnowNoHosts() {
-        noClasses().that().resideInAnyPackage("honeygap", "honeygap.flags..").should().dependOnClassesThat()
+        noClasses().that().resideInAnyPackage("honeygap", "honeygap.rules..", "honeygap.terms..", "honeygap.flags..").should()
+                .dependOnClassesThat()
                 .resideInAnyPackage(IO).check(ALL);
         noClasses().that().resideInAPackage("honeygap.fleet..").should().dependOnClassesThat()
-                .resideInAnyPackage("honeygap", "honeygap.flags..", "honeygap.net..", "honeygap.read..").check(ALL);
+                .resideInAnyPackage("honeygap", "honeygap.rules..", "honeygap.flags..", "honeygap.net..", "honeygap.read..")
+                .check(ALL);
+    }
+
+    /** The fit knows nothing of routing, routing reads posterior and room, votes read the fit. */
+    @Test
+    void modulesPointOneWay() {
+        String[] order = {"fit", "work", "health", "cold", "builds", "room", "evidence", "votes", "routing"};
+        for (int i = 0; i < order.length; i++) {
+            for (int later = i + 1; later < order.length; later++) {
+                none("honeygap.rules." + order[i] + "..", "honeygap.rules." + order[later] + "..").check(ALL);
+            }
+            none("honeygap.rules." + order[i] + "..", "honeygap.wire..", "honeygap.manage..").check(ALL);
+        }
+        none("honeygap.rules.routing..", "honeygap.rules.votes..").check(ALL);
     }
 
     /** What becomes of segments, operations and replayed RPCs is decided without files and sockets. */
@@ -45,8 +60,8 @@
 
     @Test
     void decisionsReadNoClockAndNoChance() {
-        noClasses().that().resideInAnyPackage("honeygap", "honeygap.flags..", "honeygap.capture.stream..").should().callMethod(System.class,
-                "nanoTime").orShould().callMethod(System.class, "currentTimeMillis").orShould()
+        noClasses().that().resideInAnyPackage("honeygap", "honeygap.rules..", "honeygap.fleet..", "honeygap.flags..",
+                "honeygap.capture.stream..").should().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis").orShould()
                 .dependOnClassesThat().haveFullyQualifiedName("java.util.Random").check(ALL);
     }
 
--- a/src/test/java/honeygap/FitTest.java
+++ b/src/test/java/honeygap/FitTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import honeygap.rules.fit.Fit;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -12,7 +13,7 @@
     @CsvSource({"''", "10:2:1", "10:2:0", "30:2:1 30:2:1 30:2:1", "5:0:0 7:0:0", "0:4:1 0:3:1", "0:0:0",
         "8:4:0 8:4:0 9:3:1 6:6:0 1:9:1", "20:1:1 20:1:1 20:1:1 20:1:1 20:1:1 20:1:1 20:1:1 20:1:1"})
     void matchesDenseGrid(String events) {
-        Rules.Fit fit = new Rules.Fit(0);
+        Fit fit = new Fit(0);
         double[][] all = events.isEmpty() ? new double[0][] : new double[events.split(" ").length][];
         for (int i = 0; i < all.length; i++) {
             String[] event = events.split(" ")[i].split(":");
@@ -44,8 +45,8 @@
     @ParameterizedTest
     @CsvSource({"5,1,0,3", "40,10,2,2", "0,6,0,6"})
     void groupsAreTiedEvents(int picksOld, int picksNew, int failedOld, int failedNew) {
-        Rules.Fit group = new Rules.Fit(1);
-        Rules.Fit single = new Rules.Fit(0);
+        Fit group = new Fit(1);
+        Fit single = new Fit(0);
         for (int i = 0; i < Math.max(picksOld, failedOld); i++) {
             group.add(0, false, 1, i < failedOld ? 1 : 0);
         }
@@ -62,6 +63,6 @@
     @ParameterizedTest
     @CsvSource({"1,0.5", "2.718281828,0.158655", "7.389056,0.02275"})
     void chanceOfWorseIsNormal(double times, double chance) {
-        assertEquals(chance, new Rules.Fit(0).worse(times), 1e-5);
+        assertEquals(chance, new Fit(0).worse(times), 1e-5);
     }
 }
--- a/src/test/java/honeygap/RulesTest.java
+++ b/src/test/java/honeygap/RulesTest.java
@@ -6,11 +6,17 @@
 
 import honeygap.fleet.Appliance;
 import honeygap.fleet.Build;
+import honeygap.fleet.Fleet;
 import honeygap.fleet.Pick;
 import honeygap.fleet.Rpc;
+import honeygap.terms.Desk;
+import honeygap.terms.Exposure;
+import honeygap.terms.Listing;
+import honeygap.terms.Tries;
 import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.Random;
+import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -28,12 +34,12 @@
         "2,0,1,0,0,abort", "2,0,3,0,0,abort", "2,0,5,0,0,abort", "2,0,6,0,0,abort",
         "2,0,2,0,0,pick", "2,0,4,0,0,pick", "2,0,7,0,0,pick"})
     void furtherPicks(int effect, int scope, int outcome, int zone, int cell, String then) {
-        Agency agency = Agency.plain(Rules.FIRST_VOICE, scope);
+        Agency agency = Agency.plain(Desk.FIRST_VOICE, scope);
         agency.warm(1, agency.old);
         Rpc rpc = agency.take(effect, null);
         assertEquals("pick1", agency.pull());
-        agency.list(1, agency.old, 0, 0, Appliance.DRAINING, Rules.LONG_AGO);
-        agency.list(2, agency.old, zone, cell, Appliance.UP, Rules.LONG_AGO);
+        agency.list(1, agency.old, 0, 0, Appliance.DRAINING, Fleet.LONG_AGO);
+        agency.list(2, agency.old, zone, cell, Appliance.UP, Fleet.LONG_AGO);
         agency.after(100);
         agency.end(rpc, outcome);
         assertEquals(then.equals("pick") ? "pick2" : then, agency.pull());
@@ -43,7 +49,7 @@
     @ParameterizedTest
     @CsvSource({"0,2.5,pick", "1,1.5,pick", "1,2.5,pushback", "2,2.5,abort"})
     void tokenWindow(int effect, double seconds, String then) {
-        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        Agency agency = Agency.plain(Desk.FIRST_VOICE, 0);
         agency.warm(1, agency.old);
         Rpc rpc = agency.take(effect, null);
         agency.pull();
@@ -57,7 +63,7 @@
     @ParameterizedTest
     @CsvSource({"0.04,''", "0.1,pushback", "2.999,pushback", "3.5,abort"})
     void heldWithoutPlace(double seconds, String then) {
-        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        Agency agency = Agency.plain(Desk.FIRST_VOICE, 0);
         agency.take(0, null);
         assertEquals("", agency.pull());
         agency.after((long) (seconds * SECOND));
@@ -70,7 +76,7 @@
     @CsvSource({"0,2,0,0.2,0", "0,2,0,0.2,1", "0,2,0,0.2,2", "0,2,0,0,0", "0,2,1,1,1", "1,2,0,0.5,0",
         "3,2,0,0.2,0",        "0,1,0,1,0"})
     void exposure(int phase, int announced, int stage, double cap, int method) {
-        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        Agency agency = Agency.plain(Desk.FIRST_VOICE, 0);
         agency.rules.told(announced == 2 ? agency.fresh : agency.old,
                 announced == 2 ? phase : Build.RELEASED, stage, cap, false, agency.now, 0);
         agency.warm(1, agency.old);
@@ -93,7 +99,7 @@
     @ParameterizedTest
     @CsvSource({"0,0,pick2", "0,2,pick2", "0,1,pick1", "0,3,pick1", "2,2,pick2"})
     void oneWayKeys(int before, int phase, String then) {
-        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        Agency agency = Agency.plain(Desk.FIRST_VOICE, 0);
         agency.warm(2, agency.fresh);
         agency.rules.told(agency.fresh, before, 1, 1, false, agency.now, 0);
         Rpc first = agency.take(0, "k");
@@ -114,9 +120,9 @@
     @ParameterizedTest
     @CsvSource({"0,true", "1,false", "2,false"})
     void drains(int state, boolean picked) {
-        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        Agency agency = Agency.plain(Desk.FIRST_VOICE, 0);
         agency.warm(1, agency.old);
-        agency.list(1, agency.old, 0, 0, state, Rules.LONG_AGO);
+        agency.list(1, agency.old, 0, 0, state, Fleet.LONG_AGO);
         agency.take(0, null);
         assertEquals(picked, agency.pull().contains("pick1"));
     }
@@ -125,7 +131,7 @@
     @ParameterizedTest
     @CsvSource({"0,true", "1,true", "3,true", "5,false"})
     void coldStart(int age, boolean bounded) {
-        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        Agency agency = Agency.plain(Desk.FIRST_VOICE, 0);
         agency.warm(1, agency.old);
         agency.serve(100, 0, 0);
         agency.list(1, agency.old, 0, 0, Appliance.UP, agency.now - age * SECOND);
@@ -167,7 +173,7 @@
     @ParameterizedTest
     @CsvSource({"2,1,8,''", "3,1,8,vote1", "8,0,8,''", "9,0,8,vote1", "3,1,7,''", "8,1,7,''", "9,1,0,vote1"})
     void onIsPatient(int seconds, int listed, int seen, String then) {
-        Agency agency = Agency.one(7, 1, Rules.FIRST_VOICE, 0);
+        Agency agency = Agency.one(7, 1, Desk.FIRST_VOICE, 0);
         agency.warm(1, agency.old);
         agency.rules.told(agency.fresh, Build.ON_TRIAL, 0, 0.2, false, agency.now, 0);
         if (listed == 1) {
@@ -183,7 +189,7 @@
     @CsvSource({"0,1,''", "0,5,vote1", "1,1,vote1", "3,1,vote1", "2,1,vote1", "7,1,''", "-1,0.5,''",
         "-1,2,vote1"})
     void renewsVotes(int answer, double seconds, String then) {
-        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        Agency agency = Agency.plain(Desk.FIRST_VOICE, 0);
         agency.warm(1, agency.old);
         agency.rules.told(agency.fresh, Build.ON_TRIAL, 0, 0.2, false, agency.now, 0);
         agency.list(2, agency.fresh, 0, 0, Appliance.UP, agency.now);
@@ -200,12 +206,12 @@
     @ParameterizedTest
     @CsvSource({"0", "2"})
     void silentApplianceIsNoVerdict(int age) {
-        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        Agency agency = Agency.plain(Desk.FIRST_VOICE, 0);
         for (int id = 1; id < 4; id++) {
             agency.warm(id, agency.old);
         }
         agency.rules.told(agency.fresh, Build.ON_TRIAL, 1, 1, false, agency.now, 0);
-        agency.list(4, agency.fresh, 0, 0, Appliance.UP, age == 0 ? Rules.LONG_AGO : agency.now);
+        agency.list(4, agency.fresh, 0, 0, Appliance.UP, age == 0 ? Fleet.LONG_AGO : agency.now);
         agency.serve(20, 0, Pick.TIMEOUT);
         assertFalse(agency.pull().contains("vote3"));
         agency.after(SECOND);
@@ -215,12 +221,12 @@
     /** Errors that begin when no earlier build is at risk are set against what the earlier one did. */
     @Test
     void lateBadBuildIsSentBack() {
-        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        Agency agency = Agency.plain(Desk.FIRST_VOICE, 0);
         agency.warm(1, agency.old);
         agency.rules.told(agency.fresh, Build.ON_TRIAL, 1, 1, false, agency.now, 0);
         agency.serve(60, 0, Pick.OK);
         agency.warm(2, agency.fresh);
-        agency.list(1, agency.old, 0, 0, Appliance.GONE, Rules.LONG_AGO);
+        agency.list(1, agency.old, 0, 0, Appliance.GONE, Fleet.LONG_AGO);
         agency.rules.told(agency.fresh, Build.RELEASED, 1, 1, false, agency.now, 0);
         agency.serve(10, 0, Pick.ERROR);
         agency.after(2 * SECOND).pull();
@@ -231,9 +237,9 @@
     @ParameterizedTest
     @CsvSource({"none,1,''", "none,3,watch", "fail,1,watch", "answer,9,''", "disk,3,watch"})
     void asksTheList(String what, int seconds, String then) {
-        Agency agency = new Agency(7, 2, new Rules.Tries(3, false, 0), new Rules.Listing(true, 10 * SECOND),
-                new Rules.Desk(0, SECOND, SECOND, SECOND, 1, 1, 0),
-                new Rules.Exposure(new double[0], new double[0], SECOND, 0, false, 0, false), 0);
+        Agency agency = new Agency(7, 2, new Tries(3, false, 0), new Listing(true, 10 * SECOND),
+                new Desk(0, SECOND, SECOND, SECOND, 1, 1, 0, 0),
+                new Exposure(new double[0], new double[0], SECOND, 0, false, 0, false), 0);
         assertEquals("watch", agency.pull());
         if (what.equals("fail")) {
             agency.rules.listFailed();
@@ -250,7 +256,7 @@
     void agentsSpreadOverColdAppliance(int agents) {
         int picks = 0;
         for (int seed = 0; seed < agents; seed++) {
-            Agency agency = Agency.one(seed, agents, Rules.FIRST_VOICE, 0);
+            Agency agency = Agency.one(seed, agents, Desk.FIRST_VOICE, 0);
             agency.warm(1, agency.old);
             agency.serve(20, 0, Pick.OK);
             agency.list(1, agency.old, 0, 0, Appliance.UP, agency.now);
@@ -265,7 +271,7 @@
     @ParameterizedTest
     @CsvSource({"0.1,true", "0.9,false"})
     void lateAnswersShrinkRoom(double seconds, boolean wide) {
-        Agency agency = Agency.one(7, 10, Rules.FIRST_VOICE, 0);
+        Agency agency = Agency.one(7, 10, Desk.FIRST_VOICE, 0);
         for (int id = 1; id < 9; id++) {
             agency.warm(id, agency.old);
         }
@@ -277,11 +283,14 @@
         assertEquals(wide, agency.pull().split("pick").length == 6, agency.said + "");
     }
 
-    /** The desk's counts of all agents convict by method; a jammed build's, and few failures, do not. */
+    /**
+     * The desk's counts of all agents convict by method, also where those of one period come one after another; a
+     * jammed build's, and few failures, do not.
+     */
     @ParameterizedTest
-    @CsvSource({"20,0.1,true", "20,9,false", "0,0.1,false", "1,0.1,false"})
-    void deskCounts(int bad, double seconds, boolean back) {
-        Agency agency = Agency.plain(Rules.BY_COUNT, 0);
+    @CsvSource({"20,0.1,0,true", "20,0.1,35,true", "20,9,0,false", "0,0.1,0,false", "1,0.1,35,false"})
+    void deskCounts(int bad, double seconds, int apart, boolean back) {
+        Agency agency = Agency.plain(Desk.BY_COUNT, 0);
         agency.warm(1, agency.old);
         agency.answer(10, 1000, 0, 1000);
         agency.rules.told(agency.fresh, Build.ON_TRIAL, 1, 1, false, agency.now, 0);
@@ -289,16 +298,70 @@
         for (int i = 0; i < 3; i++) {
             agency.after(2 * SECOND);
             agency.rules.counted(agency.old, agency.methods.get(0), 100, 0, 1000);
+            agency.after(apart);
             agency.rules.counted(agency.fresh, agency.methods.get(0), 40, bad, (long) (seconds * SECOND));
         }
         assertEquals(back, agency.after(SECOND).pull().contains("vote3"));
     }
 
+    /** One of many agents that takes several times the mean has room for it soon, as long as few answers are late. */
+    @ParameterizedTest
+    @CsvSource({"4000,true", "6000,false"})
+    void roomOfAHeavyAgent(int lag, boolean all) {
+        Agency agency = Agency.one(3, 93, Desk.BY_COUNT, 0);
+        for (int id = 1; id <= 60; id++) {
+            agency.warm(id, agency.old);
+        }
+        ArrayDeque<Rpc> out = new ArrayDeque<>();
+        int turnedDown = 0;
+        for (int i = 0; i < 200; i++) {
+            agency.after(250);
+            out.add(agency.take(0, null));
+            String said = agency.pull();
+            turnedDown += i >= 56 ? said.split("pushback", -1).length - 1 : 0;
+            while (!out.isEmpty() && (out.peek().out == 0 || agency.now - out.peek().picks.get(0).sentAt >= lag)) {
+                Rpc rpc = out.poll();
+                if (rpc.out > 0) {
+                    agency.end(rpc, Pick.OK);
+                } else if (!rpc.closed) {
+                    out.addLast(rpc);
+                    break;
+                }
+            }
+        }
+        assertEquals(all, turnedDown == 0, turnedDown + " pushed back");
+    }
+
+    /** All agents stand for a stage at once: those that the desk has no room for come again spread over a round. */
+    @Test
+    void votesTurnedAway() {
+        double round = 93.0 / 30;
+        TreeSet<Long> again = new TreeSet<>();
+        for (int seed = 1; seed <= 40; seed++) {
+            Agency agency = Agency.one(seed, 93, Desk.BY_COUNT, 0);
+            agency.warm(1, agency.old);
+            agency.warm(2, agency.fresh);
+            agency.rules.told(agency.fresh, Build.ON_TRIAL, 0, 0.2, false, agency.now, 0);
+            agency.after(4 * SECOND);
+            agency.pull();
+            assertTrue(agency.said.contains("vote1"), "seed " + seed);
+            agency.rules.told(agency.fresh, 0, 0, 0, true, 0, Pick.FULL);
+            long waited = 0;
+            while (!agency.pull().contains("vote1")) {
+                agency.after(100);
+                waited += 100;
+            }
+            again.add(waited / 1000);
+            assertTrue(waited <= round * SECOND + 100, "seed " + seed + ": " + waited);
+        }
+        assertTrue(again.size() > round * 10 / 2, "steps of 0.1 s in which votes came again: " + again);
+    }
+
     /** RPCs of a customer that fail at earlier builds as well get one pick, others a further one. */
     @ParameterizedTest
     @CsvSource({"0,2", "10,1"})
     void badRequestsGetOnePick(int before, int picks) {
-        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        Agency agency = Agency.plain(Desk.FIRST_VOICE, 0);
         agency.warm(1, agency.old);
         agency.warm(2, agency.old);
         for (int i = 0; i <= before; i++) {
@@ -320,9 +383,9 @@
     @ParameterizedTest
     @CsvSource({"500,true", "4000,false"})
     void slowLocationIsLeftOut(int lag, boolean used) {
-        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
-        agency.list(1, agency.old, 0, 0, Appliance.UP, Rules.LONG_AGO);
-        agency.list(2, agency.old, 1, 1, Appliance.UP, Rules.LONG_AGO);
+        Agency agency = Agency.plain(Desk.FIRST_VOICE, 0);
+        agency.list(1, agency.old, 0, 0, Appliance.UP, Fleet.LONG_AGO);
+        agency.list(2, agency.old, 1, 1, Appliance.UP, Fleet.LONG_AGO);
         agency.answer(20, 500, 1, 500);
         agency.answer(20, 500, 1, lag);
         int there = 0;
@@ -343,7 +406,7 @@
     @ParameterizedTest
     @CsvSource({"1,false", "3,true"})
     void sickAppliance(int sick, boolean back) {
-        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        Agency agency = Agency.plain(Desk.FIRST_VOICE, 0);
         for (int i = 0; i < 3; i++) {
             agency.warm(i, agency.old);
             agency.warm(10 + i, agency.fresh);
@@ -370,7 +433,7 @@
     @ParameterizedTest
     @CsvSource({"10,10,false", "0,3,true"})
     void failuresOfBoth(int everyOld, int everyNew, boolean back) {
-        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        Agency agency = Agency.plain(Desk.FIRST_VOICE, 0);
         for (int i = 0; i < 4; i++) {
             agency.warm(i, agency.old);
         }
@@ -381,7 +444,7 @@
             }
             if (i == 300) {
                 for (int j = 0; j < 4; j++) {
-                    agency.list(j, agency.old, 0, 0, Appliance.GONE, Rules.LONG_AGO);
+                    agency.list(j, agency.old, 0, 0, Appliance.GONE, Fleet.LONG_AGO);
                     agency.warm(10 + j, agency.fresh);
                 }
             }
@@ -413,10 +476,10 @@
         int ons = 0;
         Random random = new Random(seed);
         for (int i = 0; i < 14; i++) {
-            Agency agency = new Agency(seed * 100 + i, 14, new Rules.Tries(3, true, SECOND / 2),
-                    new Rules.Listing(false, 10 * SECOND),
-                    new Rules.Desk(Rules.BY_COUNT, 6 * SECOND, SECOND, SECOND, 3, 30, 0),
-                    new Rules.Exposure(new double[] {0.3, 1}, new double[] {0.2, 1}, 2 * SECOND, 1, false, 0,
+            Agency agency = new Agency(seed * 100 + i, 14, new Tries(3, true, SECOND / 2),
+                    new Listing(false, 10 * SECOND),
+                    new Desk(Desk.BY_COUNT, 6 * SECOND, SECOND, SECOND, 3, 30, 0, 0),
+                    new Exposure(new double[] {0.3, 1}, new double[] {0.2, 1}, 2 * SECOND, 1, false, 0,
                             false), 0);
             for (int id = 0; id < 20; id++) {
                 agency.warm(id, id < 16 ? agency.old : agency.fresh);
@@ -456,9 +519,9 @@
     /** A location that is lost breaks all that was out there at once: one event, not a verdict on its build. */
     @Test
     void lostLocation() {
-        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        Agency agency = Agency.plain(Desk.FIRST_VOICE, 0);
         for (int id = 0; id < 12; id++) {
-            agency.list(id, id < 6 ? agency.old : agency.fresh, id < 6 ? 0 : 1, 0, Appliance.UP, Rules.LONG_AGO);
+            agency.list(id, id < 6 ? agency.old : agency.fresh, id < 6 ? 0 : 1, 0, Appliance.UP, Fleet.LONG_AGO);
         }
         agency.rules.told(agency.fresh, Build.ON_TRIAL, 1, 1, false, agency.now, 0);
         agency.serve(60, 0, Pick.OK);
@@ -482,10 +545,10 @@
     @ParameterizedTest
     @CsvSource({"1", "2", "3", "4"})
     void takingOver(int seed) {
-        Agency agency = new Agency(seed, 3, new Rules.Tries(1, true, SECOND / 2),
-                new Rules.Listing(false, 10 * SECOND),
-                new Rules.Desk(Rules.BY_COUNT, 6 * SECOND, SECOND, SECOND, 3, 30, 0),
-                new Rules.Exposure(new double[] {0.1, 1}, new double[] {0.1, 1}, 2 * SECOND, 1, false, 0, true), 0);
+        Agency agency = new Agency(seed, 3, new Tries(1, true, SECOND / 2),
+                new Listing(false, 10 * SECOND),
+                new Desk(Desk.BY_COUNT, 6 * SECOND, SECOND, SECOND, 3, 30, 0, 0),
+                new Exposure(new double[] {0.1, 1}, new double[] {0.1, 1}, 2 * SECOND, 1, false, 0, true), 0);
         agency.rules.told(agency.fresh, Build.ON_TRIAL, 0, 0.1, false, agency.now, 0);
         for (int id = 0; id < 24; id++) {
             agency.warm(id, id < 20 ? agency.old : agency.fresh);
@@ -498,7 +561,7 @@
                 agency.rules.told(agency.fresh, Build.ON_TRIAL, 1, 1, false, agency.now, 0);
             }
             if (i >= 500 && i % 8 == 0 && i < 500 + 8 * 19) {
-                agency.list((i - 500) / 8, agency.old, 0, 0, Appliance.GONE, Rules.LONG_AGO);
+                agency.list((i - 500) / 8, agency.old, 0, 0, Appliance.GONE, Fleet.LONG_AGO);
                 agency.warm(30 + i, agency.fresh);
             }
             agency.after(40);
@@ -514,7 +577,7 @@
     @ParameterizedTest
     @CsvSource({"1", "2", "3", "4", "5", "6", "7", "8", "9"})
     void chanceIsSpread(int seed) {
-        Agency agency = Agency.one(seed, 14, Rules.BY_COUNT, 0);
+        Agency agency = Agency.one(seed, 14, Desk.BY_COUNT, 0);
         int[] picks = new int[4];
         for (int id = 0; id < 4; id++) {
             agency.warm(id, agency.old);
@@ -533,14 +596,14 @@
     @ParameterizedTest
     @CsvSource({"true,5,''", "false,4,vote1"})
     void doubtWhileEarlierIsUp(boolean isUp, int failures, String then) {
-        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        Agency agency = Agency.plain(Desk.FIRST_VOICE, 0);
         for (int id = 0; id < 8; id++) {
             agency.warm(id, id < 4 ? agency.old : agency.fresh);
         }
         agency.rules.told(agency.fresh, Build.ON_TRIAL, 1, 1, false, agency.now, 0);
         agency.serve(60, 2, Pick.OK);
         for (int id = 0; id < 4 && !isUp; id++) {
-            agency.list(id, agency.old, 0, 0, Appliance.GONE, Rules.LONG_AGO);
+            agency.list(id, agency.old, 0, 0, Appliance.GONE, Fleet.LONG_AGO);
         }
         int failed = 0;
         for (int i = 0; i < 12 || failed < failures && i < 400; i++) {
@@ -563,7 +626,7 @@
     @ParameterizedTest
     @CsvSource({"3", "4"})
     void sickAmongCold(int seed) {
-        Agency agency = Agency.one(seed, 14, Rules.BY_COUNT, 0);
+        Agency agency = Agency.one(seed, 14, Desk.BY_COUNT, 0);
         for (int id = 0; id < 8; id++) {
             agency.warm(id, agency.old);
         }
@@ -590,7 +653,7 @@
     @ParameterizedTest
     @CsvSource({"0", "3", "5", "6", "-1"})
     void keysMet(int outcome) {
-        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        Agency agency = Agency.plain(Desk.FIRST_VOICE, 0);
         agency.warm(10, agency.fresh);
         agency.rules.told(agency.fresh, Build.ON_TRIAL, 1, 1, false, agency.now, 0);
         Rpc rpc = agency.take(2, "k");
@@ -600,7 +663,7 @@
             agency.end(rpc, outcome);
         }
         agency.pull();
-        agency.list(10, agency.fresh, 0, 0, Appliance.GONE, Rules.LONG_AGO);
+        agency.list(10, agency.fresh, 0, 0, Appliance.GONE, Fleet.LONG_AGO);
         agency.warm(1, agency.old);
         agency.after(100);
         agency.take(2, "k");
@@ -611,10 +674,10 @@
     @ParameterizedTest
     @CsvSource({"1.2,1.7,false", "1.2,1.9,true", "2,2.9,false", "2,3.1,true"})
     void onWaits(double soak, double seconds, boolean on) {
-        Agency agency = new Agency(7, 2, new Rules.Tries(3, true, SECOND / 2),
-                new Rules.Listing(false, 10 * SECOND),
-                new Rules.Desk(Rules.FIRST_VOICE, 6 * SECOND, (long) (soak * SECOND), SECOND, 1, 30, 1),
-                new Rules.Exposure(new double[] {0.2, 1}, new double[] {0.2, 1}, 2 * SECOND, 1, false, 1,
+        Agency agency = new Agency(7, 2, new Tries(3, true, SECOND / 2),
+                new Listing(false, 10 * SECOND),
+                new Desk(Desk.FIRST_VOICE, 6 * SECOND, (long) (soak * SECOND), SECOND, 1, 30, 1, 2 * SECOND),
+                new Exposure(new double[] {0.2, 1}, new double[] {0.2, 1}, 2 * SECOND, 1, false, 1,
                         true), 0);
         agency.warm(1, agency.old);
         agency.warm(2, agency.fresh);
@@ -631,7 +694,7 @@
     @ParameterizedTest
     @CsvSource({"300,false,true", "75,false,false", "75,true,true"})
     void slowedByTraffic(int every, boolean retries, boolean back) {
-        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        Agency agency = Agency.plain(Desk.FIRST_VOICE, 0);
         for (int i = 0; i < 4; i++) {
             agency.warm(i, agency.old);
         }
@@ -661,14 +724,14 @@
     @ParameterizedTest
     @CsvSource({"false", "true"})
     void buildsLeave(boolean isOut) {
-        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        Agency agency = Agency.plain(Desk.FIRST_VOICE, 0);
         agency.warm(1, agency.old);
         Rpc rpc = isOut ? agency.take(0, null) : null;
         agency.pull();
         agency.rules.told(agency.fresh, Build.RELEASED, 0, 1, false, agency.now, 0);
         agency.warm(2, agency.fresh);
         assertFalse(agency.old.left);
-        agency.list(1, agency.old, 0, 0, Appliance.GONE, Rules.LONG_AGO);
+        agency.list(1, agency.old, 0, 0, Appliance.GONE, Fleet.LONG_AGO);
         assertEquals(!isOut, agency.old.left);
         if (isOut) {
             agency.after(100);
@@ -688,9 +751,9 @@
     @ParameterizedTest
     @CsvSource({"0,0,pick1", "500,0,pick2", "500,1,pushback", "500,3,pick2"})
     void barred(long barredFor, int limit, String then) {
-        Agency agency = Agency.plain(Rules.FIRST_VOICE, 0);
+        Agency agency = Agency.plain(Desk.FIRST_VOICE, 0);
         agency.warm(1, agency.old);
-        Appliance other = agency.list(2, agency.old, 0, 0, Appliance.UP, Rules.LONG_AGO);
+        Appliance other = agency.list(2, agency.old, 0, 0, Appliance.UP, Fleet.LONG_AGO);
         agency.take(0, null);
         agency.pull();
         Appliance first = agency.fleet.get(0);
--- /dev/null
+++ b/src/test/java/honeygap/share/TableTest.java
@@ -0,0 +1,211 @@
+package honeygap.share;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import honeygap.share.table.Bounds;
+import honeygap.share.table.Entry;
+import honeygap.share.table.Held;
+import honeygap.share.table.Life;
+import honeygap.share.table.Parcel;
+import honeygap.share.table.Table;
+import honeygap.share.table.Tally;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class TableTest {
+
+    private static final long TTL = 1000;
+    private static final Bounds BOUNDS = new Bounds(8, 4, 20, 40, TTL);
+
+    private static Table table(String name, long generation) {
+        return new Table("load", new Life(name, generation), 0, BOUNDS);
+    }
+
+    private static void exchange(Table from, Table to, int bytes) {
+        to.take(from.lacking(to.digest(), bytes), 0);
+    }
+
+    private static String value(Table table, String owner, String name) {
+        Held held = table.get(owner, name);
+        return held == null ? null : held.entry().value();
+    }
+
+    /** Only what the other lacks goes out, in bytes at most, and goes on where it stopped. */
+    @ParameterizedTest
+    @CsvSource({"10000,1,3", "110,2,3", "55,3,3"})
+    void onlyWhatIsLacking(int bytes, int rounds, int entries) {
+        Table a = table("a", 5);
+        Table b = table("b", 5);
+        for (int i = 0; i < entries; i++) {
+            a.put("n" + i, "v" + i, TTL);
+        }
+        for (int i = 0; i < rounds; i++) {
+            assertTrue(b.lacks(a.digest()));
+            exchange(a, b, bytes);
+        }
+        assertFalse(b.lacks(a.digest()));
+        assertEquals(List.of(), a.lacking(b.digest(), 10000));
+        assertEquals("v2", value(b, "a", "n2"));
+    }
+
+    /** What an owner wrote in an earlier life, and what it took back, comes back by no old copy. */
+    @Test
+    void noOldCopyComesBack() {
+        Table a = table("a", 5);
+        a.put("x", "1", TTL);
+        a.put("y", "2", TTL);
+        Table old = table("old", 1);
+        exchange(a, old, 10000);
+        a.withdraw("x");
+        Table b = table("b", 1);
+        exchange(a, b, 10000);
+        exchange(old, b, 10000);
+        assertNull(value(b, "a", "x"));
+        assertEquals("2", value(b, "a", "y"));
+        Table again = table("a", 6);
+        again.put("x", "3", TTL);
+        exchange(again, b, 10000);
+        b.take(old.lacking(List.of(), 10000), 0);
+        assertEquals("3", value(b, "a", "x"));
+        assertNull(value(b, "a", "y"));
+        assertEquals(2, b.tally().of(Tally.Kind.EARLIER_LIFE));
+        exchange(b, old, 10000);
+        assertNull(value(old, "a", "y"));
+    }
+
+    /** Ages travel, so entries end everywhere together, whatever the clocks and however they went round. */
+    @ParameterizedTest
+    @CsvSource({"0,0,999,true", "0,0,1000,false", "600000,0,999,true", "600000,500,499,true", "-600000,500,500,false"})
+    void endsByAge(long clock, long later, long after, boolean holds) {
+        Table a = table("a", 1);
+        a.put("x", "1", TTL);
+        Table b = new Table("load", new Life("b", 1), clock, BOUNDS);
+        a.now(later);
+        exchange(a, b, 1000);
+        b.now(clock + after);
+        assertEquals(holds, value(b, "a", "x") != null);
+        b.expire();
+        Table c = table("c", 1);
+        exchange(b, c, 1000);
+        assertEquals(holds, value(c, "a", "x") != null);
+    }
+
+    /** A process that meets its own name in a life that is not its own goes on in a later one. */
+    @ParameterizedTest
+    @CsvSource({"7,1,8", "5,3,6", "5,1,5", "4,9,5"})
+    void ownNameElsewhere(long generation, int writes, long then) {
+        Life life = new Life("a", 5);
+        Table a = new Table("load", life, 0, BOUNDS);
+        a.put("x", "mine", TTL);
+        a.put("y", "mine", TTL);
+        Table other = table("a", generation);
+        for (int i = 0; i < writes; i++) {
+            other.put("x", "theirs" + i, TTL);
+        }
+        Table b = table("b", 1);
+        exchange(other, b, 1000);
+        a.take(b.lacking(List.of(), 1000), 0);
+        assertEquals(then, life.generation());
+        if (then > 5) {
+            exchange(a, b, 1000);
+            assertEquals("mine", value(b, "a", "x"));
+        }
+    }
+
+    /** Whatever comes, the bounds hold, it is counted by kind, and what was held stays. */
+    @ParameterizedTest
+    @CsvSource({"owners,TOO_MANY", "names,TOO_MANY", "name,TOO_LONG", "value,TOO_LONG", "ttl,OVER"})
+    void bounded(String what, Tally.Kind kind) {
+        Table b = table("b", 1);
+        b.take(List.of(parcel("a", "n", 1, "v", TTL)), 0);
+        List<Parcel> parcels = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            String name = what.equals("name") ? "n".repeat(21) : "n" + i;
+            parcels.add(parcel(what.equals("owners") ? "o" + i : "a", name, what.equals("owners") ? 1 : 2 + i,
+                    what.equals("value") ? "v".repeat(41) : "v", what.equals("ttl") ? TTL + 1 : TTL));
+        }
+        b.take(parcels, 0);
+        assertTrue(b.tally().of(kind) >= 14, what + ": " + b.tally().of(kind));
+        assertTrue(b.owners().size() <= 8);
+        assertEquals("v", value(b, "a", "n"));
+        // What was turned away is not asked for again and again.
+        assertFalse(what.equals("names") && b.lacks(List.of(new honeygap.share.table.Known("a", 1, 21))));
+    }
+
+    private static Parcel parcel(String owner, String name, long counter, String value, long ttl) {
+        return new Parcel(owner, 1, counter - 1, List.of(new Parcel.Aged(new Entry(name, counter, ttl, value), 0)));
+    }
+
+    /** Whatever was lost, came twice or late on the way: after enough rounds all hold the same, and no ghost. */
+    @Property(tries = 60)
+    void allComeToTheSame(@ForAll @IntRange(min = 0, max = 1 << 30) int seed) {
+        UniformRandomProvider chance = RandomSource.XO_RO_SHI_RO_128_PP.create((long) seed);
+        int many = 3 + chance.nextInt(5);
+        List<Table> tables = new ArrayList<>();
+        Map<String, String> truth = new TreeMap<>();
+        Map<Integer, Long> lives = new HashMap<>();
+        for (int i = 0; i < many; i++) {
+            tables.add(table("p" + i, 1));
+            lives.put(i, 1L);
+        }
+        List<List<Parcel>> late = new ArrayList<>();
+        for (int step = 0; step < 200; step++) {
+            int i = chance.nextInt(many);
+            int j = chance.nextInt(many);
+            switch (chance.nextInt(6)) {
+                case 0 -> {
+                    String name = "n" + chance.nextInt(4);
+                    tables.get(i).put(name, "s" + step, TTL);
+                    truth.put("p" + i + "/" + name, "s" + step);
+                }
+                case 1 -> {
+                    String name = "n" + chance.nextInt(4);
+                    tables.get(i).withdraw(name);
+                    truth.remove("p" + i + "/" + name);
+                }
+                case 2 -> {
+                    if (chance.nextInt(8) == 0) {
+                        lives.merge(i, 1L, Long::sum);
+                        tables.set(i, table("p" + i, lives.get(i)));
+                        String gone = "p" + i + "/";
+                        truth.keySet().removeIf(key -> key.startsWith(gone));
+                        tables.get(i).put("n0", "new" + step, TTL);
+                        truth.put(gone + "n0", "new" + step);
+                    }
+                }
+                case 3 -> late.add(tables.get(i).lacking(tables.get(j).digest(), 200));
+                case 4 -> {
+                    if (!late.isEmpty()) {
+                        tables.get(j).take(late.get(chance.nextInt(late.size())), 0);
+                    }
+                }
+                default -> exchange(tables.get(i), tables.get(j), 50 + chance.nextInt(500));
+            }
+        }
+        for (int round = 0; round < 6 * many; round++) {
+            for (int i = 0; i < many; i++) {
+                exchange(tables.get(i), tables.get((i + 1) % many), 10_000);
+                exchange(tables.get((i + 1) % many), tables.get(i), 10_000);
+            }
+        }
+        for (Table table : tables) {
+            Map<String, String> held = new TreeMap<>();
+            table.each((owner, entry) -> held.put(owner.name + "/" + entry.entry().name(), entry.entry().value()));
+            assertEquals(truth, held, "seed " + seed);
+        }
+    }
+}
