'On' waits for the desk's counts of the stage and while the new build's answers are slow

Ruled out: counts themselves (they convict when they come), votes turned away. Lines at fault: Votes.onAfter took it for enough that counts join, whenever they come; a count whose good answers were slow was passed over without a trace. Change: where counts have come at all, 'on' waits until one reaches half a period past the last start of the stage's machines, one wait at most; and while a count of the last two periods says that good answers take over twice the usual. Tests onWaitsForCounts and onWaitsWhileSlow.

--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -123,8 +123,10 @@
         }
     }
 
-    public void counted(Build build, Method method, long many, long bad, long mean) {
+    /** Of a period that ended so long ago. */
+    public void counted(Build build, Method method, long many, long bad, long mean, long age) {
         note(build);
+        build.countedTo = Math.max(build.countedTo, fleet.now - age);
         counts.counted(build, method, many, bad, mean);
     }
 
--- a/src/main/java/honeygap/fleet/Build.java
+++ b/src/main/java/honeygap/fleet/Build.java
@@ -41,6 +41,8 @@
     public final double[] ended;
     /** Picks that ended with a word from it since the stage began. */
     public int seen;
+    /** End of the last period of which the desk's counts of it have come. */
+    public long countedTo = Fleet.LONG_AGO;
 
     /** The module has let go of it: nothing of it is up, out or counted any more. */
     public boolean left;
--- a/src/main/java/honeygap/net/desk/News.java
+++ b/src/main/java/honeygap/net/desk/News.java
@@ -61,7 +61,8 @@
         long many = (long) number(pairs.get("Samples"));
         long bad = (long) number(pairs.get("Errors"));
         long mean = (long) (10 * number(pairs.get("MeanMs")));
-        return () -> rules.counted(builds.apply(build), method, many, bad, mean);
+        long age = (long) (10 * number(pairs.get("AgeMs")));
+        return () -> rules.counted(builds.apply(build), method, many, bad, mean, age);
     }
 
     private Runnable told(int build, int stage, String state, double cap, double ageMs, boolean answer)
--- a/src/main/java/honeygap/rules/cold/ColdStarts.java
+++ b/src/main/java/honeygap/rules/cold/ColdStarts.java
@@ -18,7 +18,6 @@
         fleet.warmWork += pick.cold ? 0 : Work.cost(pick.rpc);
     }
 
-    /** A second or more has passed since then. */
     public void second(long since) {
         long warm = fleet.appliances.stream().filter(a -> a.state == Appliance.UP && warmth(a) >= 1).count();
         if (since > Fleet.LONG_AGO && (warm * 2 > fleet.appliances.size() || fleet.warmRate == 0)) {
--- a/src/main/java/honeygap/rules/evidence/Counts.java
+++ b/src/main/java/honeygap/rules/evidence/Counts.java
@@ -12,6 +12,8 @@
     /** Times its own picks that the desk must sample for its counts to join, and failures beneath notice. */
     private static final double SAMPLED_TO_JOIN = 2;
     private static final double BENEATH_NOTICE = 0.02;
+    /** Picks that must have ended for a word on a build. */
+    public static final int ENOUGH = 8;
 
     private final Fleet fleet;
     /** Do the counts join the agent's own picks? */
@@ -19,6 +21,8 @@
     /** The first effect once more for each method, and when its last counts came. */
     public List<Fit> fits = List.of();
     private long countedAt;
+    /** When a count last said that good answers of the build on trial take far more than is usual. */
+    public long slowAt = Fleet.LONG_AGO;
     private final long every;
     private int last;
 
@@ -31,6 +35,7 @@
     public void begins() {
         fits = fleet.methods.stream().map(method -> new Fit(1)).toList();
         countedAt = Fleet.LONG_AGO;
+        slowAt = Fleet.LONG_AGO;
     }
 
     /**
@@ -50,6 +55,8 @@
         // One method that fails barely moves an effect of all. The first group remembers the earlier build.
         Fit counts = fits.get(method.index);
         boolean isNew = build == fleet.fitted;
+        boolean isSlow = isNew && method.usual > 0 && many >= ENOUGH && mean > Fit.TOLERATED * method.usual;
+        slowAt = isSlow ? fleet.now : slowAt;
         // Where even its good answers are far past the usual its few appliances are jammed: no evidence.
         if (isNew && method.usual > 0 && mean > Work.FAR_PAST * method.usual) {
             return;
--- a/src/main/java/honeygap/rules/evidence/Slowness.java
+++ b/src/main/java/honeygap/rules/evidence/Slowness.java
@@ -36,7 +36,6 @@
         first += rpc.retry ? 0 : 1;
     }
 
-    /** A second or more has passed since then. */
     public void second(long since) {
         slowed.fade(SLOWED_KEPT);
         firstRate += Work.RATE_FADE * (first * (double) Fleet.SECOND / (fleet.now - since) - firstRate);
--- a/src/main/java/honeygap/rules/health/Health.java
+++ b/src/main/java/honeygap/rules/health/Health.java
@@ -58,7 +58,6 @@
         return appliance.failing > Math.max(HOPELESS, Work.FAR_PAST * others);
     }
 
-    /** How the way to a location is, by what comes back from there and what does not. */
     public void way(Location zone, Rpc rpc, int outcome, long lag) {
         boolean isOk = outcome == Pick.OK;
         if (rpc.method.usual > 0 && (isOk || outcome == Pick.TIMEOUT || outcome == Pick.CONNECT_FAILED)) {
--- a/src/main/java/honeygap/rules/room/Rooms.java
+++ b/src/main/java/honeygap/rules/room/Rooms.java
@@ -29,7 +29,6 @@
         build.room.each = Math.min(LIMIT_START / fleet.agents, start);
     }
 
-    /** After a list: the least room that a build keeps. */
     public void listed() {
         for (Build build : fleet.builds) {
             // Two picks an agent, or light agents would block themselves, unless all together are too many.
--- a/src/main/java/honeygap/rules/routing/Choice.java
+++ b/src/main/java/honeygap/rules/routing/Choice.java
@@ -14,7 +14,6 @@
 public record Choice(Fleet fleet, Chance chance, Exposing exposing, Failures failures, Health health,
                      Rooms rooms, ColdStarts cold, Repeats repeats) {
 
-    /** First picks by build, for the share that the earlier one keeps. */
     public void sent(Pick pick) {
         if (pick.rpc.picks.size() == 1 && fleet.fitted != null) {
             fleet.sentOld = fleet.sentOld * (1 - Work.FADE) + (pick.build == fleet.fitted ? 0 : 1);
@@ -22,7 +21,6 @@
         }
     }
 
-    /** Rules on appliances for one RPC: state, drains, effects, keys, exposure and cold starts. */
     private boolean allowed(Rpc rpc, Appliance appliance, Pick mayRun) {
         Location zone = appliance.zone;
         Build build = appliance.build;
@@ -78,8 +76,8 @@
     }
 
     private double burden(Appliance appliance) {
-        // What fails at once looks light, and would draw all RPCs.
-        double good = Math.max(Work.FADE, 1 - appliance.failing);
-        return (appliance.room.out + 1) * appliance.pace / cold.warmth(appliance) / good / good;
+        double good = Math.max(Work.FADE, 1 - appliance.failing);    // What fails at once looks light.
+        double out = appliance.room.out + appliance.others + 1;
+        return out * appliance.pace / cold.warmth(appliance) / good / good;
     }
 }
--- a/src/main/java/honeygap/rules/votes/Votes.java
+++ b/src/main/java/honeygap/rules/votes/Votes.java
@@ -15,8 +15,8 @@
     private static final double ON_CHANCE = 0.65;
     /** The desk's counts must be surer: picks that jam together are no independent events. */
     private static final double COUNTED_CHANCE = 0.98;
-    /** Picks of the stage that must have ended at the build for 'on', and waits after which none need. */
-    private static final int ENOUGH = 8, UNSEEN_WAITS = 2;
+    /** Waits after which no pick of the stage need have ended at the build. */
+    private static final int UNSEEN_WAITS = 2;
 
     public void answered(int outcome) {
         mine.out = false;
@@ -26,7 +26,6 @@
         mine.nextAt = outcome == Pick.FULL ? fleet.now + (long) (chance.next() * round()) : mine.nextAt;
     }
 
-    /** Casts a vote or writes a note where one is due. */
     public boolean next(Ctl ctl) {
         int verdict = verdict();
         if (mine.line != null) {
@@ -48,7 +47,6 @@
         return true;
     }
 
-    /** The verdict that this agent stands for now. */
     private int verdict() {
         if (!fleet.isOpen() || fleet.newest != fleet.fitted) {
             return Build.VOTE_NONE;
@@ -69,7 +67,9 @@
             return worse > Fit.HOLD_CHANCE ? Build.VOTE_HOLD : Build.VOTE_NONE;
         }
         // With no earlier appliance up a wait spares no RPC, and it can go back after the release, too.
-        boolean doubtful = slowed > Fit.HOLD_CHANCE || failures.wrong.worse(Fit.TOLERATED) > ON_CHANCE;
+        // A slow build convicts itself nowhere; what it does to a part of the fleet it would do to all.
+        boolean doubtful = slowed > Fit.HOLD_CHANCE || failures.wrong.worse(Fit.TOLERATED) > ON_CHANCE
+                || fleet.now < counts.slowAt + 2 * desk.countsEvery();
         boolean good = worse <= Fit.HOLD_CHANCE && (!doubtful || fleet.earlier() == 0);
         return good && fleet.now >= onAfter() ? Build.VOTE_ON : Build.VOTE_NONE;
     }
@@ -82,7 +82,10 @@
         int wanted = fleet.stage < waves.length ? Math.max(1, (int) (waves[fleet.stage] * fleet.places)) : 1;
         // A list that lags must not hold a good build up for ever. Harm: 'on' with less of the stage seen.
         // One of many agents hears late and sends little: nothing seen is no good word. Harm: 'on' is later.
-        last += counts.join || newest.seen >= ENOUGH ? 0 : UNSEEN_WAITS * onWait;
+        // Where the desk's counts come they must reach into the time with all of the stage's appliances.
+        long to = newest.countedTo;
+        boolean counted = to == Fleet.LONG_AGO || to >= last + desk.countsEvery() / 2;
+        last += counts.join ? counted ? 0 : onWait : newest.seen >= Counts.ENOUGH ? 0 : UNSEEN_WAITS * onWait;
         return onWait + (newest.room.appliances >= wanted ? last : Math.max(last, fleet.since + 2 * onWait));
     }
 
--- a/src/main/java/honeygap/rules/work/Work.java
+++ b/src/main/java/honeygap/rules/work/Work.java
@@ -14,7 +14,6 @@
         rpc.method.work += Math.max(FADE, 1.0 / ++rpc.method.taken) * (rpc.work - rpc.method.work);
     }
 
-    /** Usual is what warm appliances of builds not on trial take. */
     public static void answered(Pick pick, boolean onTrial, long lag) {
         if (!pick.cold && !onTrial) {
             Method method = pick.rpc.method;
--- a/src/main/java/honeygap/wire/Agent.java
+++ b/src/main/java/honeygap/wire/Agent.java
@@ -82,7 +82,7 @@
                 break;
             case "Digest":
                 rules.counted(build(event.index("Image")), method(event), event.whole("Many"),
-                        event.whole("Bad"), event.tenths("LagNs", 0));
+                        event.whole("Bad"), event.tenths("LagNs", 0), event.tenths("LatenessNs", 0));
                 break;
             case "Contested":
                 rules.contested(appliance(event.whole("Appliance")), method(event),
--- a/src/test/java/honeygap/RulesTest.java
+++ b/src/test/java/honeygap/RulesTest.java
@@ -297,9 +297,9 @@
         agency.warm(2, agency.fresh);
         for (int i = 0; i < 3; i++) {
             agency.after(2 * SECOND);
-            agency.rules.counted(agency.old, agency.methods.get(0), 100, 0, 1000);
+            agency.rules.counted(agency.old, agency.methods.get(0), 100, 0, 1000, 0);
             agency.after(apart);
-            agency.rules.counted(agency.fresh, agency.methods.get(0), 40, bad, (long) (seconds * SECOND));
+            agency.rules.counted(agency.fresh, agency.methods.get(0), 40, bad, (long) (seconds * SECOND), 0);
         }
         assertEquals(back, agency.after(SECOND).pull().contains("vote3"));
     }
@@ -332,6 +332,51 @@
         assertEquals(all, turnedDown == 0, turnedDown + " pushed back");
     }
 
+    /** 'On' waits for counts of the time with all of the stage's appliances, where the desk's counts come at all. */
+    @ParameterizedTest
+    @CsvSource({"-1,-1,true", "0.5,-1,false", "0.5,2.5,true"})
+    void onWaitsForCounts(double early, double late, boolean on) {
+        Agency agency = Agency.plain(Desk.BY_COUNT, 0);
+        agency.warm(1, agency.old);
+        agency.list(2, agency.fresh, 0, 0, Appliance.UP, agency.now);
+        agency.rules.told(agency.fresh, Build.ON_TRIAL, 0, 0.2, false, agency.now, 0);
+        long began = agency.now;
+        for (int i = 0; i < 35; i++) {
+            agency.after(SECOND / 10);
+            for (double at : new double[] {early, late}) {
+                if (agency.now - began == (long) (at * SECOND)) {
+                    agency.rules.counted(agency.fresh, agency.methods.get(0), 10, 0, 1000, 0);
+                }
+            }
+            if (agency.pull().contains("vote1")) {
+                break;
+            }
+        }
+        assertEquals(on, agency.said.contains("vote1"));
+        assertTrue(on || agency.after(3 * SECOND).pull().contains("vote1"), "it waits no longer than one wait more");
+    }
+
+    /** While good answers of the new build take far more than is usual for eight picks or more, 'on' is not said. */
+    @ParameterizedTest
+    @CsvSource({"20,900,true", "20,2500,false", "5,2500,true"})
+    void onWaitsWhileSlow(int many, long mean, boolean on) {
+        Agency agency = Agency.plain(Desk.BY_COUNT, 0);
+        agency.warm(1, agency.old);
+        agency.answer(20, 1000, 0, 1000);
+        agency.rules.told(agency.fresh, Build.ON_TRIAL, 0, 0.2, false, agency.now, 0);
+        agency.list(2, agency.fresh, 0, 0, Appliance.UP, agency.now);
+        boolean said = false;
+        for (int i = 0; i < 60; i++) {
+            agency.after(SECOND / 10);
+            if (i % 20 == 10) {
+                agency.rules.counted(agency.old, agency.methods.get(0), 100, 0, 1000, 0);
+                agency.rules.counted(agency.fresh, agency.methods.get(0), many, 0, mean, 0);
+            }
+            said |= agency.pull().contains("vote1");
+        }
+        assertEquals(on, said);
+    }
+
     /** All agents stand for a stage at once: those that the desk has no room for come again spread over a round. */
     @Test
     void votesTurnedAway() {
