Sites, first part: tables, members, exchange, workers and locks; the rig's beginnings

Tables: one count an owner, parcels in order (van Renesse and others, 2008), ages instead of clocks. A random test with late parcels found that one made for somebody who knew more left a gap for good: it now says from where it goes on. Members: SWIM with Lifeguard's corrections and the accrual detector that stood. Workers: line by kind, age and partner; locks by rank, asserted and counted. Load of others is added to the own count where two appliances are compared (0 where nothing is shared). Shown by processes of the program: killed, back, stopped and continued; sites cut by resets, lost answers, spoilt ones, and healed; one name twice; bad bodies. Not measured yet: detectors by size, spread, overhead.

--- a/src/main/java/honeygap/cli/Serve.java
+++ b/src/main/java/honeygap/cli/Serve.java
@@ -6,6 +6,9 @@
 import honeygap.net.Loop;
 import honeygap.net.door.Door;
 import honeygap.read.Malformed;
+import honeygap.read.Template;
+import honeygap.share.host.Sites;
+import honeygap.share.host.SitesSheet;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.lang.reflect.Proxy;
@@ -55,6 +58,10 @@
             description = "Where commands that were carried out are kept (default: honeygap-ledger.jsonl).")
     private Path ledger;
 
+    @CommandLine.Option(names = "--sites", paramLabel = "FILE",
+            description = "Share tables with other processes as this Jsonnet file says (off unless named; needs --door).")
+    private Path sitesFile;
+
     private Recorder recorder;
     private Loop loop;
 
@@ -76,6 +83,7 @@
             agent.count("recording", recorder);
         }
         Door opened = null;
+        Sites sites = null;
         if (door != null) {
             String token = doorToken == null ? "" : Files.readString(doorToken).strip();
             String name = told() != null && told().has("name") ? told().text("name") : sheet() != null ? sheet().name : "";
@@ -85,6 +93,14 @@
             opened = new Door(loop, agent, name, ledger, token, generation,
                     () -> new Thread(() -> agent.reread(sources()), "rereading").start());
             agent.count("door", opened);
+            if (sitesFile != null) {
+                // Later lives go before earlier ones by the clock; one that went back is found out by the others.
+                sites = new Sites(SitesSheet.of(Template.read(sitesFile), name), System.currentTimeMillis(), token);
+                opened.aside(sites);
+                agent.count("sites", sites);
+            }
+        } else if (sitesFile != null) {
+            throw new Malformed("--sites needs --door: others come by it");
         }
         agent.start();
         if (opened != null) {
@@ -95,6 +111,11 @@
             } catch (NumberFormatException e) {
                 throw new Malformed("not an address: " + door);
             }
+            Logger.info("the door is at {}", opened.address());
+            if (sites != null) {
+                sites.start(opened.address());
+                agent.share(sites);
+            }
         }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
--- a/src/main/java/honeygap/fleet/Appliance.java
+++ b/src/main/java/honeygap/fleet/Appliance.java
@@ -21,6 +21,8 @@
     /** Share of its picks that lately ended in an error or a reset. */
     public double failing;
     public final Room room = new Room(1);
+    /** Picks of other agents out there, by what they have told; 0 where agents share nothing. */
+    public double others;
     /** Picks in a row that ended without a word from it. */
     public int silent;
     /** Left out of picks until then. */
--- /dev/null
+++ b/src/main/java/honeygap/lab/Member.java
@@ -0,0 +1,153 @@
+package honeygap.lab;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One process of the program under the rig: started, stopped and continued, killed and started again by its handle. Its
+ * calls to others go through a gate of its own. It ends with the rig, also when that is killed: its input is a pipe
+ * from it, and a shell beside it ends it when the pipe does.
+ */
+public final class Member implements AutoCloseable {
+
+    private static final int READY_S = 30;
+    private static final HttpClient CLIENT = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(2)).build();
+
+    public final String name;
+    public final String site;
+    private final Path folder;
+    private final Gate gate;
+    private final List<String> runtime;
+    private final List<InetSocketAddress> seeds;
+    private Process process;
+    private InetSocketAddress door;
+
+    /** The command is a JVM's with its class path and flags, up to the main class; the folder is the process's own. */
+    public Member(String name, String site, Path folder, Gate gate, List<String> runtime, List<InetSocketAddress> seeds)
+            throws IOException {
+        this.name = name;
+        this.site = site;
+        this.folder = Files.createDirectories(folder);
+        this.gate = gate;
+        this.runtime = runtime;
+        this.seeds = seeds;
+    }
+
+    /** Starts it, at the address of its earlier life where it had one; comes back when its door is open. */
+    public void start() throws IOException, InterruptedException {
+        String at = door == null ? "127.0.0.1:0" : "127.0.0.1:" + door.getPort();
+        List<String> all = new ArrayList<>();
+        for (InetSocketAddress seed : seeds) {
+            all.add("{\"at\":\"127.0.0.1:" + seed.getPort() + "\"}");
+        }
+        Path sites = Files.writeString(folder.resolve("sites.json"), "{\"site\":\"" + site + "\",\"every\":\"200ms\","
+                + "\"answerWithin\":\"100ms\",\"holds\":\"4s\",\"proxy\":\"127.0.0.1:" + gate.address().getPort()
+                + "\",\"seeds\":[" + String.join(",", all) + "]}");
+        Path config = Files.writeString(folder.resolve("agent.json"), """
+                {"name": "%s", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1", "limits": {"sockets": 256},
+                 "rollouts": {"address": "127.0.0.1:1"}, "known": {"index": 1, "snapshot": true, "endpoints": []},
+                 "settings": {"TickNs": 1000000, "FleetSize": 1, "RegistryMode": "push",
+                  "Classes": [{"Name": "look", "AimNs": 500000000, "GiveUpNs": 2000000000, "Effect": "read_like"}]}}
+                """.formatted(name));
+        List<String> command = new ArrayList<>(List.of("sh", "-c",
+                // The shell waits for the end of the pipe and takes the process with it.
+                "\"$@\" < /dev/null & P=$!; echo \"pid $P\"; cat > /dev/null; kill -9 $P", "member"));
+        command.addAll(runtime);
+        command.addAll(List.of("honeygap.cli.Start", "serve", "--config", config.toString(), "--door", at, "--ledger",
+                folder.resolve("ledger").toString(), "--sites", sites.toString()));
+        process = new ProcessBuilder(command).redirectErrorStream(true).start();
+        CompletableFuture<InetSocketAddress> ready = new CompletableFuture<>();
+        Process mine = process;
+        Thread reader = new Thread(() -> read(mine, ready), "reads " + name);
+        reader.setDaemon(true);
+        reader.start();
+        try {
+            door = ready.get(READY_S, TimeUnit.SECONDS);
+        } catch (java.util.concurrent.ExecutionException | java.util.concurrent.TimeoutException e) {
+            throw new IOException(name + " did not come up: " + e.getMessage() + "; " + Files.readString(log()));
+        }
+    }
+
+    private volatile long pid;
+
+    private void read(Process mine, CompletableFuture<InetSocketAddress> ready) {
+        try (BufferedReader lines = new BufferedReader(
+                new InputStreamReader(mine.getInputStream(), StandardCharsets.UTF_8))) {
+            for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                Files.writeString(log(), line + "\n", java.nio.file.StandardOpenOption.CREATE,
+                        java.nio.file.StandardOpenOption.APPEND);
+                if (line.startsWith("pid ")) {
+                    pid = Long.parseLong(line.substring(4).strip());
+                }
+                int said = line.indexOf("the door is at ");
+                if (said >= 0) {
+                    ready.complete(new InetSocketAddress("127.0.0.1",
+                            Integer.parseInt(line.substring(line.lastIndexOf(':') + 1).strip())));
+                }
+            }
+            ready.completeExceptionally(new IOException("it ended"));
+        } catch (IOException e) {
+            ready.completeExceptionally(e);
+        }
+    }
+
+    private Path log() {
+        return folder.resolve("log");
+    }
+
+    public InetSocketAddress door() {
+        return door;
+    }
+
+    public String log(String part) throws IOException {
+        return Files.readAllLines(log()).stream().filter(line -> line.contains(part)).reduce("", (a, b) -> a + b + "\n");
+    }
+
+    /** STOP, CONT or KILL, to this process alone. */
+    public void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(pid)).start().waitFor();
+    }
+
+    /** Kills it outright and waits for its end. */
+    public void kill() {
+        ProcessHandle handle = ProcessHandle.of(pid).orElse(null);
+        process.descendants().forEach(ProcessHandle::destroyForcibly);
+        process.destroyForcibly().onExit().join();
+        if (handle != null) {
+            handle.onExit().join();
+        }
+    }
+
+    /** What its door answers, read directly and not through a gate; empty where it does not answer. */
+    public String ask(String path) throws InterruptedException {
+        try {
+            return CLIENT.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + door.getPort() + path))
+                    .timeout(Duration.ofSeconds(2)).build(), HttpResponse.BodyHandlers.ofString()).body();
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        if (process != null && process.isAlive()) {
+            kill();
+        }
+        gate.close();
+    }
+}
--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -54,6 +54,11 @@
         loop.end();
     }
 
+    /** Load is told to others, and theirs is heard; after the start. */
+    public void share(Shared shared) {
+        loop.post(() -> protocols.forEach(protocol -> protocol.share(shared)));
+    }
+
     /** From any thread: to be done on the loop, in the next turn. */
     public void onLoop(Runnable task) {
         loop.post(task);
--- a/src/main/java/honeygap/net/Protocol.java
+++ b/src/main/java/honeygap/net/Protocol.java
@@ -26,6 +26,10 @@
     /** Takes no clients and closes connections between RPCs, or takes them again. */
     void drain(boolean isDrained);
 
+    /** Load goes to and comes from others there, from then on; on the loop. */
+    default void share(Shared shared) {
+    }
+
     /** How many clients are connected. */
     int count();
 }
--- a/src/main/java/honeygap/net/Queries.java
+++ b/src/main/java/honeygap/net/Queries.java
@@ -118,6 +118,13 @@
         };
     }
 
+    @Override
+    public void share(Shared shared) {
+        shared.figures(registry.out());
+        registry.others(shared.others());
+        loop.at(loop.now() + shared.every(), () -> share(shared));
+    }
+
     @Override
     public void leave() {
         clients.leave();
--- a/src/main/java/honeygap/net/door/Door.java
+++ b/src/main/java/honeygap/net/door/Door.java
@@ -30,6 +30,7 @@
     /** The version of what is spoken here. */
     public static final int VERSION = 1;
 
+    private static final int LONGEST = 16_384;
     private static final int MOST = 64;
     private static final long KEPT = 600_000;
     private static final int REMEMBERED = 1000;
@@ -44,6 +45,8 @@
     private final LedgerFile file;
     final Guests guests;
     private InetSocketAddress bound;
+    /** Null where nothing answers beside the loop. */
+    private Aside aside;
     private long commands;
     private long inspected;
     private long turnedDown;
@@ -65,6 +68,26 @@
         guests = new Guests(loop, MOST, MOST / 2, KEPT);
     }
 
+    /** Before anybody is listened to: what goes beside the loop. */
+    public void aside(Aside aside) {
+        this.aside = aside;
+    }
+
+    /** What answers this path beside the loop, or null. */
+    Aside aside(String path) {
+        return aside != null && aside.takes(path) ? aside : null;
+    }
+
+    /** Bodies may be so long. */
+    int longest() {
+        return Math.max(LONGEST, aside == null ? 0 : aside.longest());
+    }
+
+    /** From any thread: in the next turn of the loop. */
+    void onLoop(Runnable task) {
+        loop.post(task);
+    }
+
     public void listen(InetSocketAddress address) throws IOException, Malformed {
         if (token.length == 0 && !address.getAddress().isLoopbackAddress()) {
             throw new Malformed("the door listens on loopback alone unless it has a token: " + address);
--- a/src/main/java/honeygap/net/door/Visitor.java
+++ b/src/main/java/honeygap/net/door/Visitor.java
@@ -11,15 +11,16 @@
 /** Whoever comes through the door: requests one after another, each answered at once. */
 final class Visitor extends Guest {
 
-    private static final int LONGEST = 16_384;
-
     private final Door door;
-    private final Requests requests = new Requests(LONGEST);
+    private final Requests requests;
     private boolean hasAsked;
+    /** Answered beside the loop: the next one is not read before. */
+    private boolean isAwaited;
 
     Visitor(Door door) {
         super(door.guests);
         this.door = door;
+        requests = new Requests(door.longest());
     }
 
     @Override
@@ -29,7 +30,7 @@
 
     @Override
     protected boolean isAsking() {
-        return false;
+        return isAwaited;
     }
 
     @Override
@@ -93,6 +94,11 @@
             if (!door.isAllowed(requests.field("authorization"))) {
                 throw new Refusal(401, "token", "a token is wanted, and not this one");
             }
+            Aside aside = door.aside(requests.target());
+            if (aside != null) {
+                beside(aside);
+                return;
+            }
             body = door.answer(requests.method(), requests.target(), requests.body());
         } catch (Refusal e) {
             status = e.status;
@@ -103,13 +109,35 @@
             status = 500;
             body = "{\"error\":\"the ledger can't be kept\"}".getBytes(StandardCharsets.US_ASCII);
         }
-        boolean stays = requests.isKept();
+        answered(status, body, requests.isKept());
+    }
+
+    private void answered(int status, byte[] body, boolean stays) {
         write(whole(status, body, stays));
         if (!stays) {
             close();
         }
     }
 
+    private void beside(Aside aside) {
+        boolean stays = requests.isKept();
+        isAwaited = true;
+        aside.answer(requests.method(), requests.target(), requests.body().clone(), new Aside.Reply() {
+            @Override
+            public void reply(int status, byte[] body) {
+                door.onLoop(() -> {
+                    isAwaited = false;
+                    answered(status, body, stays);
+                });
+            }
+
+            @Override
+            public void refuse(Refusal refusal) {
+                reply(refusal.status, error(refusal));
+            }
+        });
+    }
+
     private static ByteBuffer whole(int status, byte[] body, boolean stays) {
         byte[] head = ("HTTP/1.1 " + status + " x\r\nContent-Type: application/json\r\nContent-Length: " + body.length
                 + (stays ? "" : "\r\nConnection: close") + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
--- a/src/main/java/honeygap/net/list/Registry.java
+++ b/src/main/java/honeygap/net/list/Registry.java
@@ -182,6 +182,22 @@
         };
     }
 
+    /** Picks now out, by name. */
+    public Map<String, Integer> out() {
+        Map<String, Integer> out = new HashMap<>();
+        remotes.forEach((name, remote) -> {
+            if (remote.room.out > 0) {
+                out.put(name, remote.room.out);
+            }
+        });
+        return out;
+    }
+
+    /** What others have out, by name; nothing where they say nothing. */
+    public void others(Map<String, Double> others) {
+        remotes.forEach((name, remote) -> remote.others = others.getOrDefault(name, 0.0));
+    }
+
     private static int state(String word) throws Malformed {
         switch (word) {
             case "SERVING":
--- a/src/main/java/honeygap/share/table/Table.java
+++ b/src/main/java/honeygap/share/table/Table.java
@@ -151,16 +151,31 @@
         return parcels;
     }
 
-    /** Whether a process with this digest has heard more of any owner than this one. */
-    public boolean lacks(Collection<Known> digest) {
+    /** How far this process has heard of those owners of whom the other one has heard more. */
+    public List<Known> behind(Collection<Known> digest) {
+        List<Known> behind = new ArrayList<>();
         for (Known line : digest) {
             Owner owner = owners.get(line.owner());
             if (owner != self && (owner == null ? line.highest() > 0 : line.generation() > owner.generation
                     || line.generation() == owner.generation && line.highest() > owner.highest)) {
-                return true;
+                boolean isSame = owner != null && owner.generation == line.generation();
+                behind.add(new Known(line.owner(), line.generation(), isSame ? owner.highest : 0));
             }
         }
-        return false;
+        return behind;
+    }
+
+    /** The same as {@link #lacking}, of those owners alone that the digest names. */
+    public List<Parcel> lackingOf(Collection<Known> digest, int bytes) {
+        List<Known> all = new ArrayList<>(digest());
+        all.removeIf(line -> digest.stream().anyMatch(other -> other.owner().equals(line.owner())));
+        all.addAll(digest);
+        return lacking(all, bytes);
+    }
+
+    /** Whether a process with this digest has heard more of any owner than this one. */
+    public boolean lacks(Collection<Known> digest) {
+        return !behind(digest).isEmpty();
     }
 
     /**
--- a/src/test/java/honeygap/ArchitectureTest.java
+++ b/src/test/java/honeygap/ArchitectureTest.java
@@ -46,6 +46,18 @@
         none("honeygap.rules.routing..", "honeygap.rules.votes..").check(ALL);
     }
 
+    /** Tables, members, exchange and the line of work decide without I/O; the loop's packages know no sharing. */
+    @Test
+    void sharingIsDecidedWithoutHosts() {
+        noClasses().that().resideInAnyPackage("honeygap.share.table..", "honeygap.share.member..", "honeygap.spread..")
+                .should().dependOnClassesThat().resideInAnyPackage(IO).check(ALL);
+        noClasses().that().resideInAnyPackage("honeygap.net..", "honeygap.rules..", "honeygap.fleet..").should()
+                .dependOnClassesThat().resideInAnyPackage("honeygap.share..", "honeygap.spread..", "honeygap.lab..")
+                .check(ALL);
+        noClasses().that().resideOutsideOfPackage("honeygap.lab..").should().dependOnClassesThat()
+                .resideInAPackage("honeygap.lab..").check(ALL);
+    }
+
     /** What becomes of segments, operations and replayed RPCs is decided without files and sockets. */
     @Test
     void otherDecisionsKnowNoHosts() {
