Room doubles in the time of an answer up to three times the start only

Line at fault: Rooms.adapt, growth without a bound at fleets that are slow and full. roomOfAHeavyAgent passes.

--- a/src/main/java/honeygap/rules/room/Rooms.java
+++ b/src/main/java/honeygap/rules/room/Rooms.java
@@ -15,7 +15,7 @@
     private static final double JAM_SHARE = 0.2;
     private static final double ROOM_CUT = 0.5;
     /** What is left of the room at first even in a jam; a new build's, against what warm appliances hold. */
-    private static final double ROOM_LEAST = 0.25, TRIAL_START = 3;
+    private static final double ROOM_LEAST = 0.25, TRIAL_START = 3, FAST_MOST = 3;
 
     public void renewed(Appliance appliance) {
         appliance.room.least = 1;
@@ -61,8 +61,9 @@
         if (jam) {
             room.each = Math.max(room.least, room.each * (1 - ROOM_CUT / most));
         } else if (room.out + 1 >= most / 2) {
-            // While few are late a pick an answer, since some agents take several times what others do.
-            double more = room.late < JAM_SHARE / 2 ? 1 : ROOM_CUT * JAM_SHARE / (1 - JAM_SHARE);
+            // While few are late a pick an answer up to three times the start: so far loads of agents differ.
+            boolean fast = room.late < JAM_SHARE / 2 && room.each < FAST_MOST * LIMIT_START / fleet.agents;
+            double more = fast ? 1 : ROOM_CUT * JAM_SHARE / (1 - JAM_SHARE);
             room.each *= 1 + more / most;
         }
         room.restUntil = fleet.now + (long) (lag * (1 / Math.min(1, room.each * room.appliances) - 1));
--- a/src/main/java/honeygap/rules/routing/Choice.java
+++ b/src/main/java/honeygap/rules/routing/Choice.java
@@ -64,7 +64,6 @@
         return from.stream().filter(appliance -> !health.isLeftOut(appliance, rpc)).toList();
     }
 
-    /** Two random choices on in-flight counts. */
     private Appliance lighter(List<Appliance> from) {
         List<Appliance> among = from.stream().filter(appliance -> rooms.isFree(appliance.room)).toList();
         if (among.isEmpty()) {
