Sites: own entries are taken back in one place; counts that nobody reads are out

Read once more: 'take back what is no longer named' stood in Sites twice and in the test's town; now Table.retain. Members counted refutations, suspicions and deaths, and knew since when it is cut off, and nobody asked.

--- a/src/main/java/honeygap/share/host/Sites.java
+++ b/src/main/java/honeygap/share/host/Sites.java
@@ -171,14 +171,7 @@
         own.put("self", members.incarnation() + " " + address + " " + sheet.site, sheet.bounds.ttl());
         Table suspects = tables.get(SUSPECTS);
         List<Peer> suspected = members.accusations();
-        List<String> cleared = new ArrayList<>();
-        suspects.each((owner, held) -> {
-            if (owner.name.equals(sheet.name)
-                    && suspected.stream().noneMatch(peer -> peer.name.equals(held.entry().name()))) {
-                cleared.add(held.entry().name());
-            }
-        });
-        cleared.forEach(suspects::withdraw);
+        suspects.retain(suspected.stream().map(peer -> peer.name).toList());
         for (Peer peer : suspected) {
             suspects.put(peer.name, peer.generation + " " + peer.incarnation, sheet.bounds.ttl());
         }
@@ -317,13 +310,7 @@
         with(LOAD, () -> {
             Table load = tables.get(LOAD);
             if (out != null) {
-                List<String> gone = new ArrayList<>();
-                load.each((owner, held) -> {
-                    if (owner.name.equals(sheet.name) && !out.containsKey(held.entry().name())) {
-                        gone.add(held.entry().name());
-                    }
-                });
-                gone.forEach(load::withdraw);
+                load.retain(out.keySet());
                 out.forEach((appliance, many) -> load.put(appliance, Integer.toString(many), sheet.bounds.ttl()));
             }
             load.expire();
--- a/src/main/java/honeygap/share/member/Members.java
+++ b/src/main/java/honeygap/share/member/Members.java
@@ -39,9 +39,7 @@
     private final List<Peer> round = new ArrayList<>();
     private long now;
     private long incarnation = 1;
-    private long refuted, suspected, died, doubted;
     private boolean isCutOff;
-    private long cutOffSince;
 
     /** Each round asks one other; it begins so often. */
     public Members(String self, long every, long now, UniformRandomProvider chance) {
@@ -66,7 +64,6 @@
             boolean another = peer.generation != 0 && !peer.address.equals(address)
                     && now - peer.lastSign < DOUBT_ROUNDS * every;
             if (another) {
-                doubted++;
                 peer.doubtedUntil = now + DOUBT_ROUNDS * every;
             }
             // A later life: nothing known of the one before holds.
@@ -94,10 +91,6 @@
         }
     }
 
-    public void forget(String name) {
-        round.remove(peers.remove(name));
-    }
-
     /** Something that it wrote then has come, by whatever way: a sign of life if it is newer than the last. */
     public void heard(String name, long writtenAt) {
         Peer peer = peers.get(name);
@@ -145,7 +138,6 @@
         if (name.equals(self)) {
             if (incarnation >= this.incarnation) {
                 this.incarnation = incarnation + 1;
-                refuted++;
                 health.ill();
             }
             return;
@@ -212,11 +204,9 @@
             if (peer.standing == Peer.Standing.ALIVE && suspect) {
                 peer.standing = Peer.Standing.SUSPECT;
                 peer.suspectedAt = now;
-                suspected++;
             }
             if (peer.standing == Peer.Standing.SUSPECT && now - peer.suspectedAt >= suspicionTime(peer)) {
                 peer.standing = Peer.Standing.DEAD;
-                died++;
             }
             if (peer.standing != before) {
                 changed.add(peer);
@@ -249,20 +239,13 @@
                 silent += peer.signs != null && peer.signs.level(now) > SILENT ? 1 : 0;
             }
         }
-        boolean before = isCutOff;
         isCutOff = well >= CUT_OFF_LEAST && silent > CUT_OFF * well;
-        cutOffSince = isCutOff && !before ? now : cutOffSince;
     }
 
     public boolean isCutOff() {
         return isCutOff;
     }
 
-    /** By this process's clock; holds while it is cut off. */
-    public long cutOffSince() {
-        return cutOffSince;
-    }
-
     /** Is its name in use by two processes? Then what either says counts for nothing. */
     public boolean isDoubted(Peer peer) {
         return now < peer.doubtedUntil;
@@ -280,13 +263,4 @@
     public Collection<Peer> peers() {
         return peers.values();
     }
-
-    public int localHealth() {
-        return health.score();
-    }
-
-    /** Since the start: refutations of its own, suspicions, deaths, names doubted. */
-    public long[] counts() {
-        return new long[] {refuted, suspected, died, doubted};
-    }
 }
--- a/src/main/java/honeygap/share/table/Table.java
+++ b/src/main/java/honeygap/share/table/Table.java
@@ -75,6 +75,15 @@
         }
     }
 
+    /** Takes back all entries of this process's own but those of these names. */
+    public void retain(Collection<String> names) {
+        for (Held held : List.copyOf(self.entries.values())) {
+            if (!names.contains(held.entry().name())) {
+                withdraw(held.entry().name());
+            }
+        }
+    }
+
     /** An entry that holds, or null. */
     public Held get(String owner, String name) {
         Owner of = owners.get(owner);
--- a/src/test/java/honeygap/share/Town.java
+++ b/src/test/java/honeygap/share/Town.java
@@ -156,14 +156,7 @@
         process.members.put("self", process.detector.incarnation() + " at" + process.number + " " + process.site,
                 20 * EVERY);
         List<Peer> suspected = process.detector.accusations();
-        List<String> gone = new ArrayList<>();
-        process.suspects.each((owner, held) -> {
-            if (owner.name.equals(process.name)
-                    && suspected.stream().noneMatch(peer -> peer.name.equals(held.entry().name()))) {
-                gone.add(held.entry().name());
-            }
-        });
-        gone.forEach(process.suspects::withdraw);
+        process.suspects.retain(suspected.stream().map(peer -> peer.name).toList());
         for (Peer peer : suspected) {
             String value = peer.generation + " " + peer.incarnation;
             var held = process.suspects.get(process.name, peer.name);
