Shutdown: RPCs in line, unread or on new connections are answered before the close

Two looks, then no more are taken, then a third look. - The hook for SIGTERM stood only after the start; told to end before it, the agent waited for ever. - SIGHUP ended a process that was still starting, and a reread before the first turn met a null stream; of two rereads at once the older could tell last. HangUp hears it from the first line; rereads go one at a time. - Connections are let in up to a bound (Loop.Acceptor): a flood took all descriptors before the loop saw the first. Time from the program's first line to its first RPC: a counter and a line in the log.

--- a/src/main/java/honeygap/cli/Rehearse.java
+++ b/src/main/java/honeygap/cli/Rehearse.java
@@ -34,7 +34,7 @@
     /** What an agent runs; the rest of the jar is for other subcommands. */
     private static final List<String> PARTS = List.of("honeygap/Rules", "honeygap/Ctl", "honeygap/rules/",
             "honeygap/terms/", "honeygap/fleet/", "honeygap/net/", "honeygap/read/", "honeygap/cli/Serve",
-            "honeygap/cli/Configured", "honeygap/cli/Start");
+            "honeygap/cli/Configured", "honeygap/cli/Start", "honeygap/cli/HangUp");
 
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
--- a/src/main/java/honeygap/cli/Serve.java
+++ b/src/main/java/honeygap/cli/Serve.java
@@ -11,7 +11,6 @@
 import honeygap.share.host.SitesSheet;
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -78,7 +77,7 @@
 
     @Override
     void run(Agent agent, PrintWriter out) throws IOException, Malformed, InterruptedException {
-        onHangUp(() -> agent.reread(sources()));
+        HangUp.then(() -> agent.reread(sources()));
         if (recorder != null) {
             agent.count("recording", recorder);
         }
@@ -102,6 +101,18 @@
         } else if (sitesFile != null) {
             throw new Malformed("--sites needs --door: others come by it");
         }
+        // Before the first client can come: one that is told to end just then still answers it.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            try {
+                agent.leave();
+                if (recorder != null) {
+                    recorder.close();
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "leaving"));
+        loop.startedAt(Start.BEGUN);
         agent.start();
         if (opened != null) {
             int colon = door.lastIndexOf(':');
@@ -117,40 +128,6 @@
                 agent.share(sites);
             }
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            try {
-                agent.leave();
-                if (recorder != null) {
-                    recorder.close();
-                }
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "leaving"));
         new CountDownLatch(1).await();
     }
-
-    /**
-     * Guards against the runtime's own answer to SIGHUP, which is to end. Its class for signals is found by
-     * name: the compiler warns of it wherever it stands, and warnings fail the build.
-     */
-    private static void onHangUp(Runnable task) {
-        try {
-            Class<?> signal = Class.forName("sun.misc.Signal");
-            Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object told = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler},
-                    (proxy, method, arguments) -> {
-                        task.run();
-                        return null;
-                    });
-            Object before = signal.getMethod("handle", signal, handler).invoke(null,
-                    signal.getConstructor(String.class).newInstance("HUP"), told);
-            // The runtime takes the handler and drops it where the signal was ignored at the start, as under nohup.
-            if (before == handler.getField("SIG_IGN").get(null)) {
-                Logger.warn("SIGHUP is ignored by whoever started this process: new configurations go unheard");
-            }
-        } catch (ReflectiveOperationException e) {
-            Logger.warn(e, "SIGHUP can't be heard here");
-        }
-    }
 }
--- a/src/main/java/honeygap/cli/Start.java
+++ b/src/main/java/honeygap/cli/Start.java
@@ -9,10 +9,16 @@
  */
 public final class Start {
 
+    /** The program's first line, by the runtime's clock; the runtime's own start before it is not in it. */
+    static final long BEGUN = System.nanoTime();
+
     private Start() {
     }
 
     public static void main(String[] args) throws InterruptedException {
+        if (args.length > 0 && args[0].equals(Configured.SERVE)) {
+            HangUp.hear();
+        }
         System.exit(args.length == 1 && args[0].equals(Configured.SERVE) ? plain()
                 : Main.run(args, System.in, System.out, System.err));
     }
--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -18,12 +18,19 @@
     /** New clients may come for so long after the order to end, and what is open is answered. */
     private static final long LEAVING_AFTER = 7_000;
     private static final long ENDING_AFTER = 14_000;
+    private static final long LOOK_EVERY = 100;
 
     private final Loop loop;
     private final List<Protocol> protocols;
     private final List<InetSocketAddress> bound = new ArrayList<>();
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Map<String, Counters.Group> others = new LinkedHashMap<>();
+    /** Takes clients; and has been told to end. Guarded by this. */
+    private boolean isOpen;
+    private boolean isLeaving;
+    /** No client was here when last looked, and no new one is taken any more. */
+    private boolean wasEmpty;
+    private boolean isShut;
     private boolean isDrained;
     private long rereads;
     private long unread;
@@ -33,15 +40,22 @@
         this.protocols = List.copyOf(protocols);
     }
 
-    /** Warms up, then starts to serve. */
+    /** Warms up, then starts to serve; not where it has been told to end meanwhile. */
     public void start() throws IOException {
         protocols.forEach(Protocol::prepare);
-        loop.post(() -> protocols.forEach(Protocol::begin));
-        loop.post(this::report);
-        loop.start(protocols.stream().flatMap(protocol -> protocol.cores().stream()).toArray(Loop.Core[]::new));
-        for (Protocol protocol : protocols) {
-            bound.add(protocol.listen());
+        synchronized (this) {
+            if (isLeaving) {
+                return;
+            }
+            loop.post(() -> protocols.forEach(Protocol::begin));
+            loop.post(this::report);
+            loop.start(protocols.stream().flatMap(protocol -> protocol.cores().stream()).toArray(Loop.Core[]::new));
+            for (Protocol protocol : protocols) {
+                bound.add(protocol.listen());
+            }
+            isOpen = true;
         }
+        Logger.info("ready after {} ms", loop.sinceStart());
     }
 
     /** Where the protocol of this number takes clients. */
@@ -76,6 +90,7 @@
             all.count("broken", Loop.broken());
             all.count("rereads", rereads);
             all.count("not read", unread);
+            all.count("first RPC ms", loop.firstRpcAfter());
         });
         protocols.forEach(protocol -> protocol.report(counters));
         others.forEach(counters::group);
@@ -93,8 +108,11 @@
         Runnable read() throws IOException, Malformed;
     }
 
-    /** Reads all anew, on this thread, and goes by it; where one can't be read whole, all stays as it was. */
-    public void reread(List<Source> sources) {
+    /**
+     * Reads all anew, on this thread, and goes by it; where one can't be read whole, all stays as it was. One at a
+     * time: each signal has a thread of its own, and one that read the older file must not be the last to tell.
+     */
+    public synchronized void reread(List<Source> sources) {
         List<Runnable> changes = new ArrayList<>();
         try {
             for (Source source : sources) {
@@ -127,8 +145,14 @@
         return protocols.stream().mapToInt(Protocol::count).sum();
     }
 
-    /** Serves on until nothing that was taken is open; comes back then. */
+    /** Serves on until nothing that was taken is open; comes back then, or at once before the start. */
     public void leave() throws InterruptedException {
+        synchronized (this) {
+            isLeaving = true;
+            if (!isOpen) {
+                return;
+            }
+        }
         loop.post(() -> {
             long since = loop.now();
             loop.at(since + LEAVING_AFTER, () -> protocols.forEach(Protocol::leave));
@@ -137,11 +161,22 @@
         ended.await();
     }
 
+    /**
+     * Guards against ending with a connection that this machine has accepted and the loop has not seen: where nobody
+     * was here at two looks no more are taken, and whoever came up to then is served before the end.
+     */
     private void endWhenDone() {
-        if (protocols.stream().allMatch(protocol -> protocol.count() == 0)) {
+        boolean isEmpty = clients() == 0;
+        if (isEmpty && isShut) {
             ended.countDown();
+        } else if (isEmpty && wasEmpty) {
+            loop.shut(() -> {
+                isShut = true;
+                loop.at(loop.now() + LOOK_EVERY, this::endWhenDone);
+            });
         } else {
-            loop.at(loop.now() + 100, this::endWhenDone);
+            wasEmpty = isEmpty;
+            loop.at(loop.now() + LOOK_EVERY, this::endWhenDone);
         }
     }
 }
--- a/src/main/java/honeygap/net/Flags.java
+++ b/src/main/java/honeygap/net/Flags.java
@@ -128,7 +128,7 @@
 
     @Override
     public InetSocketAddress listen() throws IOException {
-        return loop.listen(sheet.listen, BACKLOG, askers::comer);
+        return loop.listen(sheet.listen, BACKLOG, askers.places(), askers::comer);
     }
 
     /** Servers, list and desk are those of this sheet from then on; all else holds from start to end. */
--- a/src/main/java/honeygap/net/Loop.java
+++ b/src/main/java/honeygap/net/Loop.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -12,10 +13,12 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.core.service.SimpleIoProcessorPool;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.SocketSessionConfig;
@@ -94,6 +97,8 @@
     private List<Core> cores = List.of();
     private volatile Thread thread;
     private volatile boolean over;
+    private long startedNanos = zero;
+    private long firstRpcAfter;
     Turns turns;
     /** Listens in on all connections; null where nobody does. */
     Tap tap;
@@ -163,6 +168,29 @@
         return now;
     }
 
+    /** The program began then, by the clock of the runtime; where it is not told, with the loop. */
+    public void startedAt(long nanos) {
+        startedNanos = nanos;
+    }
+
+    /** Milliseconds since the program began. */
+    long sinceStart() {
+        return (System.nanoTime() - startedNanos) / 1_000_000;
+    }
+
+    /** An RPC has been taken: how long a restart takes is told by the first. */
+    public void rpcTaken() {
+        if (firstRpcAfter == 0) {
+            firstRpcAfter = Math.max(1, sinceStart());
+            Logger.info("first RPC after {} ms", firstRpcAfter);
+        }
+    }
+
+    /** Milliseconds from the program's beginning to its first RPC; 0 before that. */
+    long firstRpcAfter() {
+        return firstRpcAfter;
+    }
+
     /** Lets somebody listen in on all connections that come up from then on; before the start. */
     public void tap(Tap tap) {
         this.tap = tap;
@@ -175,10 +203,47 @@
         started.start();
     }
 
+    /**
+     * Guards against a flood of connections that takes all descriptors before the loop has seen the first of them:
+     * beyond its places they wait with the system until others have gone.
+     */
+    private static final class Acceptor extends NioSocketAcceptor {
+
+        private static final long WAIT_MS = 1000;
+
+        private final Semaphore places;
+
+        Acceptor(Executor executor, SimpleIoProcessorPool<NioSession> pool, int places) {
+            super(executor, pool);
+            this.places = new Semaphore(places);
+            // Whoever has been taken is served, also when no more are.
+            setCloseOnDeactivation(false);
+        }
+
+        @Override
+        protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel handle) throws Exception {
+            if (!places.tryAcquire(WAIT_MS, TimeUnit.MILLISECONDS)) {
+                return null;
+            }
+            NioSession session = null;
+            try {
+                session = super.accept(processor, handle);
+            } finally {
+                if (session == null) {
+                    places.release();
+                }
+            }
+            if (session != null) {
+                session.getCloseFuture().addListener(closed -> places.release());
+            }
+            return session;
+        }
+    }
+
     /** Where it listens, which tells the port where none was named; before the next call, from one thread. */
-    public InetSocketAddress listen(InetSocketAddress address, int backlog, Supplier<Peer> comers)
+    public InetSocketAddress listen(InetSocketAddress address, int backlog, int places, Supplier<Peer> comers)
             throws IOException {
-        NioSocketAcceptor acceptor = new NioSocketAcceptor(this::onOwnThread, pool);
+        NioSocketAcceptor acceptor = new Acceptor(this::onOwnThread, pool, places);
         acceptor.setHandler(new Door(this, comers));
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(backlog);
@@ -188,6 +253,14 @@
         return acceptor.getLocalAddress();
     }
 
+    /** Takes no new connections from then on; those that are there go on. Done is told on the loop. */
+    void shut(Runnable done) {
+        onOwnThread(() -> {
+            acceptors.forEach(NioSocketAcceptor::unbind);
+            post(done);
+        });
+    }
+
     /** Opens a connection; the peer hears whether it came up. Whoever gives up cancels what is returned. */
     public ConnectFuture connect(InetSocketAddress address, Peer peer) {
         ConnectFuture future = connector.connect(address,
@@ -222,6 +295,23 @@
         }
     }
 
+    /** What has come on a connection and has not been read yet; empty where nothing has, or its end. */
+    public ByteBuffer unread(IoSession session) {
+        ByteBuffer bytes = ByteBuffer.allocate(READ_AT_FIRST);
+        try {
+            if (session.getAttribute(Turns.CHANNEL) instanceof SocketChannel channel) {
+                channel.read(bytes);
+            }
+        } catch (IOException e) {
+            Logger.debug(e, "already closed");
+        }
+        bytes.flip();
+        if (tap != null && bytes.hasRemaining()) {
+            tap.received(Door.number(session), bytes.duplicate());
+        }
+        return bytes;
+    }
+
     /** From any thread: to be done in the next turn. */
     public void post(Runnable task) {
         posted.add(task);
--- a/src/main/java/honeygap/net/Queries.java
+++ b/src/main/java/honeygap/net/Queries.java
@@ -12,6 +12,7 @@
 import honeygap.read.Deployment;
 import honeygap.read.Fields;
 import honeygap.read.Malformed;
+import honeygap.terms.Listing;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
@@ -56,7 +57,8 @@
         // A client's connection may need one to an appliance.
         int sockets = told.part("limits").index("sockets", 1024);
         most = Math.max(2, sockets - RESERVE) / 2;
-        Rules rules = Deployment.rules(loop.clock(), seed, methods, info);
+        Listing listing = Deployment.onSockets(info);
+        Rules rules = Deployment.rules(loop.clock(), seed, methods, info, listing);
         Map<String, Method> names = new HashMap<>();
         int at = 0;
         for (Fields method : info.objects("Classes")) {
@@ -68,7 +70,7 @@
         links = new Links(loop, rules, Session::new, info.tenths("TickNs"),
                 ceilings.tenths("ConnectTimeoutNs", 2500), ceilings.tenths("IdleCloseNs", 100_000), most);
         registry = new Registry(loop, rules, links, core::build, told.address("discovery"),
-                info.part("Rules").tenths("MustAskInNs", 0));
+                listing.askWithin());
         News news = new News(loop, rules, core::build, names);
         InetSocketAddress deskAddress = desk.address("address");
         long callTimeout = info.part("FamilyInfo").tenths("CallTimeoutNs", 20_000);
@@ -101,7 +103,7 @@
 
     @Override
     public InetSocketAddress listen() throws IOException {
-        return loop.listen(listen, 2 * most, clients::comer);
+        return loop.listen(listen, 2 * most, clients.places(), clients::comer);
     }
 
     /**
--- a/src/main/java/honeygap/net/askers/Askers.java
+++ b/src/main/java/honeygap/net/askers/Askers.java
@@ -91,6 +91,11 @@
         return guests.count();
     }
 
+    /** How many connections are let in at most. */
+    public int places() {
+        return guests.places();
+    }
+
     @Override
     public void report(Counters counters) {
         guests.report(counters);
--- a/src/main/java/honeygap/net/clients/Client.java
+++ b/src/main/java/honeygap/net/clients/Client.java
@@ -180,9 +180,6 @@
     private void finish(ByteBuffer... parts) {
         drop();
         write(parts);
-        if (all.guests.isLeaving()) {
-            close();
-        }
     }
 
     /** Parts from the RPC: it is answered, or nobody waits any more. */
--- a/src/main/java/honeygap/net/clients/Clients.java
+++ b/src/main/java/honeygap/net/clients/Clients.java
@@ -73,6 +73,7 @@
             twice++;
             return null;
         }
+        loop.rpcTaken();
         long now = loop.clock();
         // Rounded down: the client has counted since it sent, and the answer has a way to go.
         long deadline = now + Math.max(0, Math.min(statement.timeMs() * 10, method.deadline) - tick);
@@ -137,6 +138,11 @@
         return guests.count();
     }
 
+    /** How many connections are let in at most. */
+    public int places() {
+        return guests.places();
+    }
+
     @Override
     public void report(Counters counters) {
         guests.report(counters);
--- a/src/main/java/honeygap/net/desk/Bulletin.java
+++ b/src/main/java/honeygap/net/desk/Bulletin.java
@@ -46,6 +46,9 @@
     /** Listens there from now on. */
     public void move(InetSocketAddress address) {
         this.address = address;
+        if (stream == null) {
+            return;    // Not begun: an agent may be told to read its files again while it starts.
+        }
         stream.close();
         if (again != null) {
             again.callOff();
--- a/src/main/java/honeygap/net/door/Door.java
+++ b/src/main/java/honeygap/net/door/Door.java
@@ -92,7 +92,7 @@
         if (token.length == 0 && !address.getAddress().isLoopbackAddress()) {
             throw new Malformed("the door listens on loopback alone unless it has a token: " + address);
         }
-        bound = loop.listen(address, BACKLOG, () -> new Visitor(this));
+        bound = loop.listen(address, BACKLOG, guests.places(), () -> new Visitor(this));
     }
 
     public InetSocketAddress address() {
--- a/src/main/java/honeygap/net/guests/Guest.java
+++ b/src/main/java/honeygap/net/guests/Guest.java
@@ -163,6 +163,32 @@
         drop(tooLongWord());
     }
 
+    /** It has asked, or has had time to: one that has just come sends its first RPC yet. */
+    final boolean hadItsTurn() {
+        return hasAsked || loop.now() >= cameAt + GRACE;
+    }
+
+    /** When at the latest it has had its turn. */
+    final long hasItsTurnAt() {
+        return cameAt + GRACE;
+    }
+
+    /**
+     * Closes between RPCs, unless the next one has come: then that is read first. What comes later is left unread, so
+     * that the client knows it was not taken. Guards against an RPC that comes as the agent closes: read and dropped,
+     * it would be lost. Whether it was closed.
+     */
+    final boolean closeIdle() {
+        ByteBuffer next = loop.unread(session);
+        if (next.hasRemaining()) {
+            received(next);
+            return false;
+        }
+        session.suspendRead();
+        close();
+        return true;
+    }
+
     /** Closes at once, with a last word where none is on its way. */
     final void drop(ByteBuffer last) {
         if (stage == Stage.UNREAD) {
--- a/src/main/java/honeygap/net/guests/Guests.java
+++ b/src/main/java/honeygap/net/guests/Guests.java
@@ -4,11 +4,15 @@
 import honeygap.net.Loop;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 
 /** All connections of one front: who may stay, who makes room, who has rested for too long. */
 public final class Guests {
 
+    /** One place over for so many that may stay. */
+    private static final int OVER = 16;
+
     final Loop loop;
     private final int most;
     private final int crowd;
@@ -41,24 +45,32 @@
     void came(Guest guest) {
         here.add(guest);
         waitedFor.add(guest);
-        if (here.size() <= most) {
-            return;
-        }
-        Guest longest = waitedFor.iterator().next();
-        if (!longest.isLate() && !idle.isEmpty()) {
-            longest = idle.iterator().next();
-        }
-        if (longest != guest) {
+        while (here.size() > most) {
+            Guest longest = waitedFor.iterator().next();
+            if (!longest.isLate() && !idle.isEmpty()) {
+                longest = idle.iterator().next();
+            }
+            if (longest == guest) {
+                return;
+            }
             madeRoom++;
-            went(longest);
             if (longest.isIdle()) {
-                longest.close();
+                closeIdle(longest);
             } else {
+                went(longest);
                 longest.drop(longest.tooManyWord());
             }
         }
     }
 
+    /** Between RPCs; it has left where it was closed, and is busy where its next RPC had come. */
+    private void closeIdle(Guest guest) {
+        idle.remove(guest);
+        if (guest.closeIdle()) {
+            went(guest);
+        }
+    }
+
     void went(Guest guest) {
         here.remove(guest);
         idle.remove(guest);
@@ -94,7 +106,7 @@
         if (!isIdle || !here.contains(guest)) {
             idle.remove(guest);
         } else if (leaving) {
-            guest.close();
+            closeAtLast(guest);
         } else if (idle.add(guest)) {
             guest.idleSince = loop.now();
             if (sweep == null) {
@@ -104,8 +116,7 @@
                 // Guards against clients that ask once a connection: they may open no more until some go.
                 Guest longest = idle.iterator().next();
                 crowded++;
-                went(longest);
-                longest.close();
+                closeIdle(longest);
             }
         }
     }
@@ -122,8 +133,16 @@
                 sweep = loop.at(longest.idleSince + kept, this::closeIdle);
                 return;
             }
-            idle.remove(longest);
-            longest.close();
+            closeIdle(longest);
+        }
+    }
+
+    /** Guards against closing a connection that has just come and whose first RPC is on its way. */
+    private void closeAtLast(Guest guest) {
+        if (guest.hadItsTurn()) {
+            closeIdle(guest);
+        } else {
+            loop.at(guest.hasItsTurnAt(), () -> idle(guest, guest.isIdle()));
         }
     }
 
@@ -138,16 +157,20 @@
     /** From now on connections are closed between RPCs. */
     public void leave() {
         leaving = true;
-        for (Guest guest : new ArrayList<>(idle)) {
-            guest.close();
-        }
+        List<Guest> all = new ArrayList<>(idle);
         idle.clear();
+        all.forEach(this::closeAtLast);
     }
 
     public int count() {
         return here.size();
     }
 
+    /** So many are let in: a few more than may stay, so that whoever makes room can be told. */
+    public int places() {
+        return most + most / OVER + 1;
+    }
+
     /** Tells the counters that concern connections. */
     public void report(Counters counters) {
         counters.count("here", here.size());
--- a/src/test/java/honeygap/bench/Forwarder.java
+++ b/src/test/java/honeygap/bench/Forwarder.java
@@ -39,7 +39,7 @@
             idle.add(new ArrayDeque<>());
         }
         loop.start();
-        loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), Integer.parseInt(args[0])), 1024,
+        loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), Integer.parseInt(args[0])), 1024, 1024,
                 Front::new);
         Thread.currentThread().join();
     }
--- a/src/test/java/honeygap/net/LoopTest.java
+++ b/src/test/java/honeygap/net/LoopTest.java
@@ -36,7 +36,7 @@
             }
         });
         assertTrue(fires(loop), "a timer before any connection");
-        InetSocketAddress at = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 10,
+        InetSocketAddress at = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 10, 10,
                 () -> new Echo(comers.getAndIncrement() == 0 ? kind : null));
         assertEquals(-1, echo(at));
         assertTrue(fires(loop), "a timer after the only connection");
--- /dev/null
+++ b/src/test/java/honeygap/net/Loopback.java
@@ -0,0 +1,525 @@
+package honeygap.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import honeygap.read.Fields;
+import honeygap.read.Malformed;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingDeque;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Timeout;
+
+/** An agent among stand-ins on loopback ports that the system gives out: what the tests on sockets share. */
+@Timeout(value = 30, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+abstract class Loopback {
+
+    final List<AutoCloseable> open = new ArrayList<>();
+    Agent agent;
+    Loop loop;
+    Queries queries;
+
+    @AfterEach
+    void close() throws Exception {
+        assertEquals(0, Loop.broken());
+        if (agent != null) {
+            agent.end();
+        }
+        for (AutoCloseable peer : open) {
+            peer.close();
+        }
+    }
+
+    /** A peer that plays one script a connection, or one a statement or call; the last one over again. */
+    class StandIn implements AutoCloseable {
+
+        final String[] scripts;
+        final AtomicInteger played = new AtomicInteger();
+        final AtomicInteger connections = new AtomicInteger();
+        final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+        final ServerSocket server;
+        private final List<Socket> sockets = new ArrayList<>();
+
+        StandIn(String scripts) throws IOException {
+            this.scripts = scripts.split(" ");
+            server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            open.add(this);
+            if (scripts.equals("refused")) {
+                server.close();
+            } else {
+                thread(() -> {
+                    while (true) {
+                        Socket socket = server.accept();
+                        sockets.add(socket);
+                        socket.setTcpNoDelay(true);
+                        connections.incrementAndGet();
+                        thread(() -> play(socket, new DataInputStream(socket.getInputStream()),
+                                socket.getOutputStream()));
+                    }
+                });
+            }
+        }
+
+        void play(Socket socket, DataInputStream in, OutputStream out) throws IOException {
+            String head = head(in);
+            String script = next();
+            heard.add(head.substring(head.lastIndexOf('\n') + 1));
+            switch (script) {
+                case "silent":
+                    in.read();
+                    break;
+                case "reset":
+                    break;
+                default:
+                    byte[] answer = answer(script);
+                    for (int i = 0; i < answer.length; i++) {
+                        out.write(answer, i, 1);
+                    }
+                    in.read();
+            }
+            socket.close();
+        }
+
+        byte[] answer(String script) {
+            return script.replace("~", "\r\n").replace('_', ' ').getBytes(StandardCharsets.UTF_8);
+        }
+
+        String next() {
+            return scripts[Math.min(played.getAndIncrement(), scripts.length - 1)];
+        }
+
+        /** A head and, where its length is given, a body. */
+        String head(DataInputStream in) throws IOException {
+            StringBuilder head = new StringBuilder();
+            while (head.indexOf("\r\n\r\n") < 0) {
+                head.append((char) in.readUnsignedByte());
+            }
+            int at = head.indexOf("Content-Length: ");
+            int length = at < 0 ? 0 : Integer.parseInt(head.substring(at + 16, head.indexOf("\r", at)));
+            return head + new String(in.readNBytes(length), StandardCharsets.US_ASCII);
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+            for (Socket socket : new ArrayList<>(sockets)) {
+                socket.close();
+            }
+        }
+    }
+
+    interface Task {
+
+        void run() throws IOException;
+    }
+
+    static void thread(Task task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (IOException e) {
+                // The other side has closed.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /**
+     * An appliance: one script a statement, or for the whole of a connection where it is about the startup.
+     */
+    final class Fleet extends StandIn {
+
+        volatile String value = "v1";
+        /** Sends the last answer once more. */
+        volatile Task copy;
+        final CountDownLatch go = new CountDownLatch(1);
+
+        Fleet(String scripts) throws IOException {
+            super(scripts);
+        }
+
+        @Override
+        void play(Socket socket, DataInputStream in, OutputStream out) throws IOException {
+            in.readNBytes(in.readInt() - 4);
+            if (scripts[0].equals("startupsilent")) {
+                in.read();
+            }
+            if (scripts[0].equals("startupwaits")) {
+                try {
+                    go.await();
+                } catch (InterruptedException e) {
+                    return;
+                }
+            }
+            if (scripts[0].equals("startupfull")) {
+                out.write(message('E', "SFATAL\0C53300\0Mfull\0\0"));
+                socket.close();
+                return;
+            }
+            out.write(message('R', "\0\0\0\0"));
+            out.write(message('Z', "I"));
+            while (true) {
+                in.readByte();
+                heard.add(new String(in.readNBytes(in.readInt() - 4), StandardCharsets.UTF_8).replace("\0",
+                        ""));
+                byte[] row = row(value);
+                switch (next()) {
+                    case "ok":
+                        out.write(row);
+                        break;
+                    case "bytes":
+                        for (byte one : row) {
+                            out.write(one);
+                        }
+                        break;
+                    case "error":
+                        out.write(join(message('E', "SERROR\0CXX000\0Mx\0\0"), message('Z', "I")));
+                        break;
+                    case "full":
+                        out.write(join(message('E', "SERROR\0C53300\0Mx\0\0"), message('Z', "I")));
+                        break;
+                    case "half":
+                        out.write(row, 0, 60);
+                        socket.close();
+                        return;
+                    case "garbage":
+                        out.write(message('?', "what"));
+                        break;
+                    case "cell":
+                        out.write(join(message('T', "\0\1content\0" + "\0".repeat(18)),
+                                message('D', "\0\1\0\0\0\7v1"), message('C', "SELECT 1\0"),
+                                message('Z', "I")));
+                        break;
+                    case "column":
+                        out.write(join(message('T', "\0\1content"), row));
+                        break;
+                    case "done":
+                        out.write(Arrays.copyOf(row, row.length - 7));
+                        out.write(message('Z', "I"));
+                        break;
+                    case "fields":
+                        out.write(join(message('E', "SERROR\0C53300"), message('Z', "I")));
+                        break;
+                    case "huge":
+                        out.write(ByteBuffer.allocate(9).put((byte) 'D').putInt(-1_300_000_000).array());
+                        break;
+                    case "tworows":
+                        out.write(join(Arrays.copyOf(row, row.length - 6 - 14), row));
+                        break;
+                    case "more":
+                        out.write(join(row, row("v0")));
+                        break;
+                    case "later":
+                        out.write(row);
+                        go.countDown();
+                        out.write(row("v0"));
+                        break;
+                    case "noise":
+                        out.write(join(row, new byte[] {'T', 0, 0}));
+                        break;
+                    case "notice":
+                        out.write(join(row, message('S', "a\0b\0"), message('N', "\0")));
+                        break;
+                    case "norow":
+                        out.write(join(message('C', "SELECT 0\0"), message('Z', "I")));
+                        break;
+                    case "held":
+                        try {
+                            go.await();
+                        } catch (InterruptedException e) {
+                            return;
+                        }
+                        out.write(row);
+                        break;
+                    case "copies":
+                        out.write(row);
+                        copy = () -> out.write(row("v0"));
+                        break;
+                    case "reset":
+                        socket.close();
+                        return;
+                    case "okclose":
+                        out.write(row);
+                        socket.close();
+                        return;
+                    default:
+                        break;
+                }
+            }
+        }
+    }
+
+    /** A row of one column as an appliance sends it, with a load report before and ready behind it. */
+    static byte[] row(String value) {
+        return join(message('S', "health\0inflight=7,util=0.61\0"),
+                message('T', "\0\1content\0" + "\0".repeat(18)),
+                message('D', "\0\1" + new String(ByteBuffer.allocate(4).putInt(value.length()).array(),
+                        StandardCharsets.ISO_8859_1) + value),
+                message('C', "SELECT 1\0"), message('Z', "I"));
+    }
+
+    static byte[] message(char type, String body) {
+        byte[] bytes = body.getBytes(StandardCharsets.ISO_8859_1);
+        return ByteBuffer.allocate(5 + bytes.length).put((byte) type).putInt(4
+                + bytes.length).put(bytes).array();
+    }
+
+    static byte[] join(byte[]... parts) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        for (byte[] part : parts) {
+            all.writeBytes(part);
+        }
+        return all.toByteArray();
+    }
+
+    /** A client; what it hears back as words. */
+    final class Caller implements AutoCloseable {
+
+        final Socket socket;
+        final DataInputStream in;
+        final OutputStream out;
+        String id = "9b1f";
+
+        Caller() throws IOException {
+            socket = new Socket(agent.address(0).getAddress(), agent.address(0).getPort());
+            socket.setTcpNoDelay(true);
+            socket.setSoTimeout(10_000);
+            open.add(this);
+            in = new DataInputStream(socket.getInputStream());
+            out = socket.getOutputStream();
+        }
+
+        /** Until ready for the next query, or the end. */
+        String hear() throws IOException {
+            StringBuilder words = new StringBuilder();
+            try {
+                while (true) {
+                    char type = (char) in.readUnsignedByte();
+                    String body = new String(in.readNBytes(in.readInt() - 4), StandardCharsets.ISO_8859_1);
+                    if (type == 'Z') {
+                        return words.toString();
+                    }
+                    if (type == 'D') {
+                        words.append("ok:").append(body.substring(6));
+                    } else if (type == 'E') {
+                        words.append(body, body.indexOf("\0C") + 2, body.indexOf("\0M"));
+                        words.append(body.contains("\0D") ? "+" : "");
+                    } else if (type == 'I') {
+                        words.append("empty");
+                    }
+                }
+            } catch (IOException e) {
+                return words + "end";
+            }
+        }
+
+        Caller as(String id) {
+            this.id = id;
+            return this;
+        }
+
+        Caller hello() throws IOException {
+            out.write(STARTUP);
+            hear();
+            return this;
+        }
+
+        String ask(String method, int ms) throws IOException {
+            out.write(query(statement(id, method, ms)));
+            return hear();
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    static final byte[] STARTUP = startup(196608);
+
+    static byte[] startup(int version) {
+        byte[] pairs = "user\0backend\0database\0store\0\0".getBytes(StandardCharsets.UTF_8);
+        return ByteBuffer.allocate(8 + pairs.length).putInt(8
+                + pairs.length).putInt(version).put(pairs).array();
+    }
+
+    static byte[] query(String words) {
+        return message('Q', words + '\0');
+    }
+
+    static String statement(String method, int ms) {
+        return statement("9b1f", method, ms);
+    }
+
+    static String statement(String id, String method, int ms) {
+        return "SELECT content FROM kv WHERE name = '7f3a' /* id=" + id + ",c=" + method + ",t=acme,d=" + ms
+                + ",k=5c0f */";
+    }
+
+    static String entry(String name, StandIn at, String status, int release) {
+        return "{'name':'" + name + "','address':'" + at.address() + "','zone':'a','group':3,'status':'"
+                + status
+                + "','since_ms':0,'release':" + release + "}";
+    }
+
+    /** Of the agent itself, told by its own counters, on its loop. */
+    long counter(String group, String name) throws Exception {
+        CompletableFuture<Long> told = new CompletableFuture<>();
+        agent.onLoop(() -> told.complete(agent.counters().groups().getOrDefault(group, Map.of())
+                .getOrDefault(name, 0L)));
+        return told.get(10, TimeUnit.SECONDS);
+    }
+
+    /** What the agent's own counters say has come to pass; a test's own time limit ends a wait in vain. */
+    void await(String group, String name, long least) throws Exception {
+        while (counter(group, name) < least) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** The loop stands still between these two: what happens meanwhile it finds all at once. */
+    final class Hold {
+
+        private final CountDownLatch stands = new CountDownLatch(1);
+        private final CountDownLatch goesOn = new CountDownLatch(1);
+        private final CountDownLatch told = new CountDownLatch(1);
+
+        /** As its last act before it goes on, the loop does this. */
+        Hold(Runnable last) throws InterruptedException {
+            agent.onLoop(() -> {
+                stands.countDown();
+                try {
+                    goesOn.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                last.run();
+                told.countDown();
+            });
+            stands.await();
+        }
+
+        void close() throws InterruptedException {
+            goesOn.countDown();
+            told.await();
+        }
+    }
+
+    /** The list as a stand-in: what is told goes to the watch that was opened last. */
+    final class Lister extends StandIn {
+
+        final LinkedBlockingDeque<String> lines = new LinkedBlockingDeque<>();
+        private final AtomicInteger watches = new AtomicInteger();
+        /** Signs of life sent. */
+        final AtomicInteger signs = new AtomicInteger();
+
+        Lister() throws IOException {
+            super("open");
+        }
+
+        @Override
+        void play(Socket socket, DataInputStream in, OutputStream out) throws IOException {
+            String head = head(in);
+            int mine = watches.incrementAndGet();
+            heard.add(head.substring(0, head.indexOf("\r")));
+            out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            while (mine == watches.get()) {
+                String line;
+                try {
+                    line = lines.pollFirst(500, TimeUnit.MILLISECONDS);
+                } catch (InterruptedException e) {
+                    return;
+                }
+                if (mine != watches.get()) {
+                    if (line != null) {
+                        lines.addFirst(line);
+                    }
+                    return;
+                }
+                signs.addAndGet(line == null ? 1 : 0);
+                byte[] bytes = (line == null ? "\n" : line).replace('\'', '"').getBytes(StandardCharsets.UTF_8);
+                out.write(join((Integer.toHexString(bytes.length) + "\r\n").getBytes(StandardCharsets.US_ASCII), bytes,
+                        "\r\n".getBytes(StandardCharsets.US_ASCII)));
+            }
+        }
+
+        /** One document in a line. */
+        void tell(int index, boolean whole, String... entries) {
+            lines.add("{'index':" + index + ",'snapshot':" + whole + ",'endpoints':[" + String.join(",", entries) + "]}\n");
+        }
+    }
+
+    void start(String known, String settings, StandIn list, StandIn desk, int sockets)
+            throws IOException, Malformed {
+        configure(known, settings, list, desk, sockets);
+        agent.start();
+    }
+
+    /** All but the start. */
+    void configure(String known, String settings, StandIn list, StandIn desk, int sockets)
+            throws IOException, Malformed {
+        String config = "{'listen':'127.0.0.1:0','discovery':'" + list.address()
+                + "','seed':'8c1f30d27a5be964',"
+                + "'limits':{'sockets':" + sockets + "},'rollouts':{'address':'" + desk.address()
+                + "','news':"
+                + "{'Revision':2,'Wave':0,'State':'Progressing','MaxShare':1,'AgeMs':100000}},"
+                + "'known':{'index':41,'snapshot':true,'endpoints':[" + known
+                + "]},'settings':{'TickNs':5000000,"
+                + "'Classes':[{'Name':'read','AimNs':1000000000,'Effect':'read_like','GiveUpNs':3000000000},"
+                + "{'Name':'book','AimNs':1000000000,'Effect':'idempotency_key','GiveUpNs':3000000000,"
+                + "'KeyScope':'zone','WindowNs':5000000000},"
+                + "{'Name':'assign','AimNs':1000000000,'Effect':'non_idempotent','GiveUpNs':3000000000}],"
+                + "'Ceilings':{'MaxAttempts':2,'ConnectTimeoutNs':100000000,'RetryAfter':true,"
+                + "'MaxRetryAfterNs':500000000},'Rules':{'MustAskInNs':1200000000}," + settings
+                + "'FamilyInfo':{'VoteStandsNs':10000000000,'CallTimeoutNs':300000000,'VotesPerS':30,"
+                + "'Caps':[1,1],'Waves':[0.5,1],'WindowNs':2000000000,'Uncounted':1}}}";
+        loop = new Loop();
+        queries = new Queries(loop, fields(config));
+        agent = new Agent(loop, List.of(queries));
+    }
+
+    static Fields fields(String words) throws IOException, Malformed {
+        try (JsonParser parser = new JsonFactory().createParser(words.replace('\'', '"'))) {
+            return Fields.document(parser);
+        }
+    }
+
+    void start(StandIn fleet) throws IOException, Malformed {
+        StandIn nobody = new StandIn("refused");
+        start(entry("s-1", fleet, "SERVING", 1), "", nobody, nobody, 1024);
+    }
+
+    /** One RPC after another, for seconds at most, until one is answered so. */
+    String askUntil(String answer) throws IOException {
+        Caller caller = new Caller().hello();
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        String heard = "";
+        while (!heard.equals(answer) && System.nanoTime() < until) {
+            heard = caller.ask("assign", 1000);
+        }
+        return heard;
+    }
+}
