Lists come pushed, indented and older; picks never go to the process before

Deployment.onSockets; the simulator's wire is as before. - An indented list was read a line at a time and turned down for ever (Registry.line). Documents puts it together; half of one, followed by signs of life, is a fault. Lists to 4 MiB (1 before). - A whole list older than what is known brought drained appliances back. It counts as a failed watch, and is believed the second time or after a move. - A watch whose first sign of life came later than half the time for asking was opened again and again: the head of the answer counts now. - A pick whose connection came up after its appliance began to drain, or moved, was sent all the same; a connection to the process before went back into the pool (Link.isCurrent). - A second answer a few milliseconds late was taken for the next pick's where the connection was used at once; such a pick waits for the rest of two steps (Link.isUnclear). Opening another connection instead was tried: tests that hold the reuse of connections failed, reverted.

--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -172,7 +172,7 @@
     }
 
     private long askAt() {
-        return listing.asked() && !fleet.listAnswered ? askedAt + listing.askWithin() / 4 : Long.MAX_VALUE;
+        return listing.watched() && !fleet.listAnswered ? askedAt + listing.askWithin() / 4 : Long.MAX_VALUE;
     }
 
     /** Makes at most one call on {@code ctl}; false when there is nothing to decide now. */
--- a/src/main/java/honeygap/net/Rehearsal.java
+++ b/src/main/java/honeygap/net/Rehearsal.java
@@ -38,7 +38,7 @@
 
     Rehearsal(Fields info) throws Malformed {
         methods = Deployment.methods(info);
-        rules = Deployment.rules(0, 1, methods, info);
+        rules = Deployment.rules(0, 1, methods, info, Deployment.onSockets(info));
         rules.listBegins(true, true);
         Build earlier = new Build(1, methods.size());
         Build trial = new Build(2, methods.size());
--- a/src/main/java/honeygap/net/appliances/Session.java
+++ b/src/main/java/honeygap/net/appliances/Session.java
@@ -63,6 +63,11 @@
         }
     }
 
+    @Override
+    protected boolean isUnclear() {
+        return true;
+    }
+
     @Override
     protected boolean isHalfRead() {
         return frames.waiting() > 0;
--- a/src/main/java/honeygap/net/http/Lines.java
+++ b/src/main/java/honeygap/net/http/Lines.java
@@ -13,7 +13,7 @@
         void line(byte[] bytes, int length) throws Malformed;
     }
 
-    private static final int LONGEST = 1 << 20;
+    private static final int LONGEST = 4 << 20;
 
     private final Reader reader;
     private byte[] line = new byte[1024];
--- a/src/main/java/honeygap/net/http/Stream.java
+++ b/src/main/java/honeygap/net/http/Stream.java
@@ -12,6 +12,10 @@
     public interface Ending {
 
         void ended(boolean whole);
+
+        /** The request has been taken: what it asks for comes, or signs of life do. */
+        default void taken() {
+        }
     }
 
     private final Loop loop;
@@ -22,7 +26,7 @@
     private Loop.Timer silence;
     private boolean over;
 
-    /** The first bytes must come in one time, each further ones in another. */
+    /** The head must come in one time, all that is behind it in another after what came last. */
     public Stream(Loop loop, InetSocketAddress address, String path, long answerWithin,
                   long silentFor, Lines.Reader reader, Ending ending) {
         this.loop = loop;
@@ -52,18 +56,26 @@
     public void head(int status) {
         if (status != 200) {
             end(false);
+        } else if (!over) {
+            // Guards against asking again and again where the first thing to tell is a sign of life, seconds later.
+            live();
+            ending.taken();
         }
     }
 
     @Override
     public void data(ByteBuffer bytes) throws Malformed {
         if (!over) {
-            silence.callOff();
-            silence = loop.at(loop.now() + silentFor, () -> end(false));
+            live();
             lines.feed(bytes);
         }
     }
 
+    private void live() {
+        silence.callOff();
+        silence = loop.at(loop.now() + silentFor, () -> end(false));
+    }
+
     @Override
     public void end() throws Malformed {
         if (!over) {
--- a/src/main/java/honeygap/net/links/Link.java
+++ b/src/main/java/honeygap/net/links/Link.java
@@ -1,10 +1,12 @@
 package honeygap.net.links;
 
+import honeygap.fleet.Appliance;
 import honeygap.fleet.Pick;
 import honeygap.net.Call;
 import honeygap.net.Loop;
 import honeygap.net.Peer;
 import honeygap.read.Malformed;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.session.IoSession;
@@ -28,6 +30,9 @@
     protected boolean handedOver;
     protected boolean probing;
     private ConnectFuture connecting;
+    /** Whom it was opened to: the process that stood there then. */
+    private InetSocketAddress address;
+    private long startedAt;
     private Loop.Timer timer;
     private long restsSince;
 
@@ -62,10 +67,17 @@
     final void connect(long within) {
         if (connecting == null) {
             due(all.loop.now() + within, this::late);
-            connecting = all.loop.connect(remote.address, this);
+            address = remote.address;
+            startedAt = remote.startedAt;
+            connecting = all.loop.connect(address, this);
         }
     }
 
+    /** Whether it leads to the process that the list names now, and takes on RPCs. */
+    final boolean isCurrent() {
+        return remote.state == Appliance.UP && remote.startedAt == startedAt && address.equals(remote.address);
+    }
+
     /** Takes a probe on instead of a pick. */
     final void probe() {
         probing = true;
@@ -87,7 +99,33 @@
         this.index = index;
         upTo = all.loop.now() + within;
         handedOver = false;
-        if (ready) {
+        if (!ready) {
+            return;
+        }
+        if (isUnclear() && !hasRested()) {
+            due(Math.min(upTo, restsUpTo()), this::sendRested);
+        } else {
+            dueSend();
+        }
+    }
+
+    /**
+     * Whether an answer does not say what it answers. Guards against a second answer some milliseconds late: it would
+     * be taken for that of a pick sent right behind the first. Such a pick waits for the rest of the pause.
+     */
+    protected boolean isUnclear() {
+        return false;
+    }
+
+    private void sendRested() {
+        if (all.loop.now() >= upTo) {
+            late();
+        } else if (call.closed || !isCurrent()) {
+            settle(Pick.MOOT);
+            idle();
+        } else if (!isQuiet()) {
+            end(Pick.MOOT);
+        } else {
             dueSend();
         }
     }
@@ -160,7 +198,11 @@
     }
 
     final boolean hasRested() {
-        return all.loop.now() >= restsSince + 2 * all.tick;
+        return all.loop.now() >= restsUpTo();
+    }
+
+    private long restsUpTo() {
+        return restsSince + 2 * all.tick;
     }
 
     /** Ready for a pick: the first, or the next. */
@@ -172,8 +214,9 @@
         }
         probing &= !ready;
         ready = true;
-        if (call != null && call.closed) {
-            // Guards against sending for an RPC that was answered, or left, while the connection came up.
+        if (call != null && (call.closed || !isCurrent())) {
+            // Guards against sending for an RPC that was answered, or left, while the connection came up; and to an
+            // appliance that began to drain meanwhile, or left its address to another.
             settle(Pick.MOOT);
         }
         if (call != null) {
--- a/src/main/java/honeygap/net/links/Links.java
+++ b/src/main/java/honeygap/net/links/Links.java
@@ -140,7 +140,8 @@
     }
 
     void rest(Link link) {
-        if (link.remote().state != Appliance.UP) {
+        if (!link.isCurrent()) {
+            // Guards against a pool that leads to the process before: its picks would count as the new build's.
             loop.gather(() -> link.end(Pick.CANCELLED));
         } else {
             link.remote().idle.addLast(link);
--- a/src/main/java/honeygap/net/list/Registry.java
+++ b/src/main/java/honeygap/net/list/Registry.java
@@ -11,7 +11,6 @@
 import honeygap.net.Core;
 import honeygap.net.Counters;
 import honeygap.net.Loop;
-import honeygap.net.http.Lines;
 import honeygap.net.http.Stream;
 import honeygap.net.links.Remote;
 import honeygap.read.Fields;
@@ -46,9 +45,10 @@
     private long named;
     private Stream watch;
     private Stream fetch;
-    /** The watch has brought its first line. */
-    private boolean told;
+    /** A whole list that is older than what is known is believed: the list has moved, or said so before. */
+    private boolean believesOlder;
     private long failures;
+    private long older;
 
     /** The list is to be asked again within this time, in tenths of a millisecond, or 0 where none is set. */
     public Registry(Loop loop, Rules rules, Back back, IntFunction<Build> builds, InetSocketAddress address,
@@ -70,6 +70,7 @@
     /** Asks there from now on, for what has changed since. */
     public void move(InetSocketAddress address) {
         this.address = address;
+        believesOlder = true;
         if (watch != null) {
             watch();
         }
@@ -83,8 +84,17 @@
         if (watch != null) {
             watch.close();
         }
-        told = false;
-        watch = stream("?stream=1&index=" + version, this::line, whole -> failed());
+        watch = stream("?stream=1&index=" + version, new Watched(), new Stream.Ending() {
+            @Override
+            public void ended(boolean whole) {
+                failed();
+            }
+
+            @Override
+            public void taken() {
+                begun();
+            }
+        });
     }
 
     @Override
@@ -92,39 +102,62 @@
         if (fetch != null) {
             fetch.close();
         }
-        fetch = stream("", (bytes, length) -> {
-            if (length > 0) {
-                take(parse(bytes, length), false);
-            }
-        }, whole -> {
+        Fetched fetched = new Fetched();
+        fetch = stream("", fetched, whole -> {
             fetch = null;
-            if (!whole) {
+            if (!whole || !fetched.isTold) {
                 failed();
             }
         });
     }
 
-    private Stream stream(String query, Lines.Reader reader, Stream.Ending ending) {
+    private Stream stream(String query, Documents.Reader reader, Stream.Ending ending) {
         return new Stream(loop, address, "/registry/instances" + query, answerWithin,
-                BEATS_TO_SILENCE * BEAT, reader, ending);
+                BEATS_TO_SILENCE * BEAT, new Documents(reader), ending);
     }
 
-    private void failed() {
-        failures++;
-        loop.gather(rules::listFailed);
+    /** The list as it is answered, once. */
+    private final class Fetched implements Documents.Reader {
+
+        private boolean isTold;
+
+        @Override
+        public void document(byte[] bytes, int length) throws Malformed {
+            take(parse(bytes, length), false);
+            isTold = true;
+        }
+
+        @Override
+        public void signOfLife() {
+            // An empty line behind a document, or before it.
+        }
     }
 
-    private void line(byte[] bytes, int length) throws Malformed {
-        if (length > 0) {
+    /** Changes as they come. */
+    private final class Watched implements Documents.Reader {
+
+        @Override
+        public void document(byte[] bytes, int length) throws Malformed {
             take(parse(bytes, length), false);
-        } else if (!told) {
-            // Nothing has changed since the version that was asked for.
-            loop.gather(() -> {
-                rules.listBegins(false, false);
-                rules.listEnds();
-            });
         }
-        told = true;
+
+        @Override
+        public void signOfLife() {
+            // Nothing has changed.
+        }
+    }
+
+    /** The list is told on this watch from now on; nothing has changed so far since the version that was asked for. */
+    private void begun() {
+        loop.gather(() -> {
+            rules.listBegins(false, false);
+            rules.listEnds();
+        });
+    }
+
+    private void failed() {
+        failures++;
+        loop.gather(rules::listFailed);
     }
 
     private Fields parse(byte[] bytes, int length) throws Malformed {
@@ -143,11 +176,19 @@
     private void take(Fields list, boolean disk) throws Malformed {
         boolean full = list.flag("snapshot", false);
         long index = list.whole("index");
+        if (full && index < version && !believesOlder) {
+            // Guards against a list that brings back what has been told to be gone or draining. Where it is as old
+            // the next time, it is the list that began anew.
+            believesOlder = true;
+            older++;
+            throw new Malformed("a whole list of version " + index + " after " + version);
+        }
         List<Runnable> told = new ArrayList<>();
         for (Fields entry : list.objects("endpoints")) {
             told.add(entry(entry));
         }
         version = index;
+        believesOlder = false;
         loop.gather(() -> {
             rules.listBegins(full, disk);
             told.forEach(Runnable::run);
@@ -216,5 +257,6 @@
         counters.count("version", version);
         counters.count("appliances", remotes.size());
         counters.count("failures", failures);
+        counters.count("older", older);
     }
 }
--- a/src/main/java/honeygap/read/Deployment.java
+++ b/src/main/java/honeygap/read/Deployment.java
@@ -13,6 +13,9 @@
 /** What an agent is told of its deployment at start, read the same way for the simulator and for sockets. */
 public final class Deployment {
 
+    /** The protocol counts a change as told after so long, whether it arrived or not; tenths of a millisecond. */
+    private static final long TOLD_WITHIN = 60_000;
+
     private Deployment() {
     }
 
@@ -27,15 +30,30 @@
         return methods;
     }
 
-    public static Rules rules(long now, long seed, List<Method> methods, Fields info) throws Malformed {
+    /** Where lists are pushed, the simulator's wire brings them by itself. */
+    public static Listing onWire(Fields info) throws Malformed {
+        return new Listing(info.text("RegistryMode", "push").equals("ask"), mustAskIn(info));
+    }
+
+    /** On sockets a list comes by a watch alone, whether it is pushed or asked for: who opens none is told nothing. */
+    public static Listing onSockets(Fields info) throws Malformed {
+        long within = mustAskIn(info);
+        return new Listing(true, within > 0 ? within : TOLD_WITHIN);
+    }
+
+    private static long mustAskIn(Fields info) throws Malformed {
+        return info.part("Rules").tenths("MustAskInNs", 0);
+    }
+
+    public static Rules rules(long now, long seed, List<Method> methods, Fields info, Listing listing)
+            throws Malformed {
         Fields ceilings = info.part("Ceilings");
         Fields family = info.part("FamilyInfo");
         Fields guards = info.part("Rules");
         return new Rules(now, seed, info.index("FleetSize", 1), info.tenths("TickNs"), methods,
                 new Tries(ceilings.index("MaxAttempts", 1), ceilings.flag("RetryAfter", false),
                         ceilings.tenths("MaxRetryAfterNs", 0)),
-                new Listing(info.text("RegistryMode", "push").equals("ask"),
-                        guards.tenths("MustAskInNs", 0)),
+                listing,
                 new Cold(guards.number("ColdFrom", 1), guards.tenths("WarmAfterNs", 0),
                         guards.number("FallMultiple", 1), guards.tenths("TipAfterNs", 0)),
                 new Desk(gate(family.text("GateMode", "first_voice")),
--- a/src/main/java/honeygap/terms/Listing.java
+++ b/src/main/java/honeygap/terms/Listing.java
@@ -1,4 +1,4 @@
 package honeygap.terms;
 
-/** The appliance list: whether it must be asked, and how long it may go unasked. */
-public record Listing(boolean asked, long askWithin) { }
+/** The appliance list: whether the module must open a watch on it, and for how long it may go without one. */
+public record Listing(boolean watched, long askWithin) { }
--- a/src/main/java/honeygap/wire/Agent.java
+++ b/src/main/java/honeygap/wire/Agent.java
@@ -36,7 +36,7 @@
     Agent(long who, long now, long seed, Fields info) throws Malformed {
         this.who = who;
         methods = Deployment.methods(info);
-        rules = Deployment.rules(now, seed, methods, info);
+        rules = Deployment.rules(now, seed, methods, info, Deployment.onWire(info));
     }
 
     /** Hands one event on. A fault in the rules is kept for the reply; a malformed event is thrown. */
