Signals, floods and restarts over real processes; a reread no longer holds up SIGTERM

RestartTest plays agents in processes of their own. Found by it: - agent.reread held the agent's lock: with a file slow to read SIGTERM waited for ever, and the open RPC's connection with it (endsWithAnOpenRpc, rows with HUP before TERM: hung). Rereads have a lock of their own. - under a flood of silent connections a client was closed between its welcome and its first RPC: the crowd rule took the longest idle one, which was the one just welcomed (flood, row 0: 'end' for an answer).

--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -31,6 +31,7 @@
     /** No client was here when last looked, and no new one is taken any more. */
     private boolean wasEmpty;
     private boolean isShut;
+    private final Object rereading = new Object();
     private boolean isDrained;
     private long rereads;
     private long unread;
@@ -112,7 +113,14 @@
      * Reads all anew, on this thread, and goes by it; where one can't be read whole, all stays as it was. One at a
      * time: each signal has a thread of its own, and one that read the older file must not be the last to tell.
      */
-    public synchronized void reread(List<Source> sources) {
+    public void reread(List<Source> sources) {
+        // Not this agent's own lock: files that are slow to read must not hold up the order to end.
+        synchronized (rereading) {
+            tell(sources);
+        }
+    }
+
+    private void tell(List<Source> sources) {
         List<Runnable> changes = new ArrayList<>();
         try {
             for (Source source : sources) {
--- a/src/main/java/honeygap/net/guests/Guests.java
+++ b/src/main/java/honeygap/net/guests/Guests.java
@@ -48,7 +48,7 @@
         while (here.size() > most) {
             Guest longest = waitedFor.iterator().next();
             if (!longest.isLate() && !idle.isEmpty()) {
-                longest = idle.iterator().next();
+                longest = idle.stream().filter(Guest::hadItsTurn).findFirst().orElse(idle.iterator().next());
             }
             if (longest == guest) {
                 return;
@@ -113,10 +113,12 @@
                 sweep = loop.at(loop.now() + kept, this::closeIdle);
             }
             if (here.size() > crowd) {
-                // Guards against clients that ask once a connection: they may open no more until some go.
-                Guest longest = idle.iterator().next();
-                crowded++;
-                closeIdle(longest);
+                // Guards against clients that ask once a connection: they may open no more until some go. One that has
+                // just come is spared: its first RPC is on its way.
+                idle.stream().filter(Guest::hadItsTurn).findFirst().ifPresent(longest -> {
+                    crowded++;
+                    closeIdle(longest);
+                });
             }
         }
     }
--- /dev/null
+++ b/src/test/java/honeygap/cli/RestartTest.java
@@ -0,0 +1,215 @@
+package honeygap.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import honeygap.standin.StoreServer;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Agents in processes of their own: signals at the wrong moment, floods, restarts. */
+@Timeout(value = 90, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class RestartTest {
+
+    @TempDir
+    private Path folder;
+
+    private final List<AutoCloseable> open = new ArrayList<>();
+
+    @AfterEach
+    void close() throws Exception {
+        for (AutoCloseable one : open) {
+            one.close();
+        }
+    }
+
+    private static int free() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static int store() throws IOException {
+        return new StoreServer(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).address().getPort();
+    }
+
+    private AgentProcess start(Path config, String before) throws IOException {
+        AgentProcess agent = new AgentProcess(config, before);
+        open.add(agent);
+        return agent;
+    }
+
+    private Path config(String words) throws IOException {
+        return Files.writeString(folder.resolve("agent.json"), words);
+    }
+
+    private Path pipe() throws IOException, InterruptedException {
+        Path pipe = folder.resolve("agent.json");
+        assertEquals(0, new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor());
+        return pipe;
+    }
+
+    /** Its files are a pipe: it stands between its first line and its start until they are written. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2})
+    void hangUpAtTheStart(int times) throws Exception {
+        Path pipe = pipe();
+        int port = free();
+        String words = AgentProcess.config(port, store(), 1, 256);
+        AgentProcess agent = start(pipe, "");
+        // Comes back when the agent has opened it as well: its first line is behind it.
+        try (var out = Files.newOutputStream(pipe)) {
+            for (int i = 0; i < times; i++) {
+                agent.signal("HUP");
+            }
+            // What it reads once more is a file, with nothing in it that can be read.
+            Files.delete(pipe);
+            Files.writeString(pipe, "broken");
+            out.write(words.getBytes());
+        }
+        assertNotNull(agent.until("configuration not read"), agent.log.toString());
+        assertNotNull(agent.until("ready after"), agent.log.toString());
+        try (AgentProcess.Client client = new AgentProcess.Client(port)) {
+            client.send("1", 2000);
+            assertEquals("TDCZ", client.hear());
+        }
+        String first = agent.until("first RPC after");
+        assertTrue(first != null && Integer.parseInt(first.replaceAll(".*after (\\d+) ms", "$1")) < 10_000, first);
+    }
+
+    /** An appliance that answers nobody until it is told to. */
+    private final class Slow implements AutoCloseable {
+
+        final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        final CountDownLatch asked = new CountDownLatch(1);
+
+        Slow() throws IOException {
+            open.add(this);
+            Thread thread = new Thread(() -> {
+                try {
+                    Socket socket = server.accept();
+                    DataInputStream in = new DataInputStream(socket.getInputStream());
+                    in.readNBytes(in.readInt() - 4);
+                    socket.getOutputStream().write(new byte[] {'R', 0, 0, 0, 8, 0, 0, 0, 0, 'Z', 0, 0, 0, 5, 'I'});
+                    in.readByte();
+                    in.readNBytes(in.readInt() - 4);
+                    asked.countDown();
+                    in.read();
+                } catch (IOException e) {
+                    // The agent has given up.
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
+    /** SIGTERM, once or more, while its files are read again or not: the open RPC is answered, then it ends. */
+    @ParameterizedTest
+    @ValueSource(strings = {"TERM", "TERM TERM", "HUP TERM", "TERM HUP", "HUP TERM HUP TERM"})
+    void endsWithAnOpenRpc(String signals) throws Exception {
+        Slow slow = new Slow();
+        Path pipe = pipe();
+        int port = free();
+        String words = AgentProcess.config(port, slow.server.getLocalPort(), 1, 256);
+        AgentProcess agent = start(pipe, "");
+        try (var out = Files.newOutputStream(pipe)) {
+            out.write(words.getBytes());
+        }
+        assertNotNull(agent.until("ready after"), agent.log.toString());
+        try (AgentProcess.Client client = new AgentProcess.Client(port)) {
+            client.send("1", 2500);
+            slow.asked.await();
+            for (String signal : signals.split(" ")) {
+                // A reread waits at the pipe for ever.
+                agent.signal(signal);
+            }
+            assertEquals("EZ", client.hear());
+            assertEquals("end", client.hear());
+        }
+        assertEquals(143, agent.ended());
+    }
+
+    /** Hundreds of connections in a moment, saying nothing or half of something: others are served, within limits. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 5, 8})
+    void flood(int bytes) throws Exception {
+        int port = free();
+        int limit = 128;
+        AgentProcess agent = start(config(AgentProcess.config(port, store(), 1, limit)), "ulimit -n " + limit + ";");
+        assertNotNull(agent.until("ready after"), agent.log.toString());
+        List<Socket> flood = new ArrayList<>();
+        for (int i = 0; i < 400; i++) {
+            Socket one = new Socket("127.0.0.1", port);
+            open.add(one);
+            flood.add(one);
+            one.getOutputStream().write(new byte[] {0, 0, 0, 41, 0, 3, 0, 0}, 0, bytes);
+        }
+        try (AgentProcess.Client client = new AgentProcess.Client(port)) {
+            client.send("1", 3000);
+            assertEquals("TDCZ", client.hear());
+        }
+        assertTrue(agent.descriptors() <= limit, "descriptors " + agent.descriptors());
+        agent.signal("TERM");
+        for (Socket one : flood) {
+            one.close();
+        }
+        assertEquals(143, agent.ended());
+        assertTrue(agent.log.stream().noneMatch(line -> line.contains("Too many open files")),
+                () -> String.join("\n", agent.log));
+    }
+
+    /** Ten processes, list and desk down, the appliance known long ago: nine take RPCs within 10 s, again and again. */
+    @Test
+    void readyInTime() throws Exception {
+        int appliance = store();
+        int rounds = 2;
+        int many = 10;
+        List<Integer> took = new ArrayList<>();
+        for (int round = 0; round < rounds; round++) {
+            List<AgentProcess> agents = new ArrayList<>();
+            List<Integer> ports = new ArrayList<>();
+            for (int i = 0; i < many; i++) {
+                ports.add(free());
+                agents.add(start(Files.writeString(folder.resolve("agent" + i + ".json"),
+                        AgentProcess.config(ports.get(i), appliance, 1, 256)), ""));
+            }
+            for (int i = 0; i < many; i++) {
+                assertNotNull(agents.get(i).until("ready after"), agents.get(i).log.toString());
+                try (AgentProcess.Client client = new AgentProcess.Client(ports.get(i))) {
+                    client.send("1", 3000);
+                    assertEquals("TDCZ", client.hear());
+                }
+                String first = agents.get(i).until("first RPC after");
+                took.add(Integer.parseInt(first.replaceAll(".*after (\\d+) ms", "$1")));
+            }
+            for (AgentProcess agent : agents) {
+                agent.signal("KILL");
+                agent.ended();
+            }
+        }
+        long inTime = took.stream().filter(ms -> ms <= 10_000).count();
+        assertTrue(inTime * 10 >= took.size() * 9L, "milliseconds to the first RPC: " + took);
+    }
+}
--- a/src/test/java/honeygap/net/Loopback.java
+++ b/src/test/java/honeygap/net/Loopback.java
@@ -9,9 +9,11 @@
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -25,6 +27,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Timeout;
 
@@ -117,6 +120,17 @@
             return head + new String(in.readNBytes(length), StandardCharsets.US_ASCII);
         }
 
+        /** Closes all connections that it has. */
+        void hangUp() {
+            try {
+                for (Socket socket : new ArrayList<>(sockets)) {
+                    socket.close();
+                }
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+
         String address() {
             return "127.0.0.1:" + server.getLocalPort();
         }
@@ -428,6 +442,31 @@
         }
     }
 
+    /** Hears, on the loop, what the agent reads of whom, as it reads it; before the start. */
+    void onRead(Consumer<String> hears) {
+        loop.tap(new Tap() {
+            @Override
+            public void opened(long connection, SocketAddress here, SocketAddress there, boolean isComer) {
+                // All are listened to.
+            }
+
+            @Override
+            public void received(long connection, ByteBuffer bytes) {
+                hears.accept(StandardCharsets.ISO_8859_1.decode(bytes.duplicate()).toString());
+            }
+
+            @Override
+            public void sent(long connection, ByteBuffer[] slices, int count) {
+                // What the agent says is heard at the other end.
+            }
+
+            @Override
+            public void closed(long connection) {
+                // The other end sees it.
+            }
+        });
+    }
+
     /** The list as a stand-in: what is told goes to the watch that was opened last. */
     final class Lister extends StandIn {
 
