Settings in force are tested field by field; what is wrong is told with its place

A fault in what an agent is told named the field and not where it stands ('field AimNs is missing'): of several methods the operator could not tell which. It says 'field settings.Classes[1].AimNs is missing' now. Times that must not be none (tick, soft deadline, deadline) and words that are not known (RegistryMode) are refused at start: before, a deadline of zero or an odd mode was gone by. Four rows of WireHostTest expect the place as well: stricter than before.

--- a/src/main/java/honeygap/read/Deployment.java
+++ b/src/main/java/honeygap/read/Deployment.java
@@ -22,9 +22,9 @@
     public static List<Method> methods(Fields info) throws Malformed {
         List<Method> methods = new ArrayList<>();
         for (Fields method : info.objects("Classes")) {
-            methods.add(new Method(methods.size(), effect(method.text("Effect")),
-                    scope(method.text("KeyScope", "all")), method.tenths("WindowNs", 0),
-                    method.tenths("AimNs"), method.tenths("GiveUpNs"),
+            methods.add(new Method(methods.size(), effect(method),
+                    scope(method), method.tenths("WindowNs", 0),
+                    method.span("AimNs"), method.span("GiveUpNs"),
                     method.number("Worth", 1), method.number("LateWorth", 0)));
         }
         return methods;
@@ -32,11 +32,20 @@
 
     /** Where lists are pushed, the simulator's wire brings them by itself. */
     public static Listing onWire(Fields info) throws Malformed {
-        return new Listing(info.text("RegistryMode", "push").equals("ask"), mustAskIn(info));
+        return new Listing(isAsked(info), mustAskIn(info));
+    }
+
+    private static boolean isAsked(Fields info) throws Malformed {
+        return switch (info.text("RegistryMode", "push")) {
+            case "ask" -> true;
+            case "push" -> false;
+            default -> throw info.fault("RegistryMode", "is unknown: " + info.text("RegistryMode"));
+        };
     }
 
     /** On sockets a list comes by a watch alone, whether it is pushed or asked for: who opens none is told nothing. */
     public static Listing onSockets(Fields info) throws Malformed {
+        isAsked(info);
         long within = mustAskIn(info);
         return new Listing(true, within > 0 ? within : TOLD_WITHIN);
     }
@@ -45,32 +54,43 @@
         return info.part("Rules").tenths("MustAskInNs", 0);
     }
 
-    public static Rules rules(long now, long seed, List<Method> methods, Fields info, Listing listing)
-            throws Malformed {
+    public static Tries tries(Fields info) throws Malformed {
         Fields ceilings = info.part("Ceilings");
-        Fields family = info.part("FamilyInfo");
+        return new Tries(ceilings.index("MaxAttempts", 1), ceilings.flag("RetryAfter", false),
+                ceilings.tenths("MaxRetryAfterNs", 0));
+    }
+
+    public static Cold cold(Fields info) throws Malformed {
         Fields guards = info.part("Rules");
-        return new Rules(now, seed, info.index("FleetSize", 1), info.tenths("TickNs"), methods,
-                new Tries(ceilings.index("MaxAttempts", 1), ceilings.flag("RetryAfter", false),
-                        ceilings.tenths("MaxRetryAfterNs", 0)),
-                listing,
-                new Cold(guards.number("ColdFrom", 1), guards.tenths("WarmAfterNs", 0),
-                        guards.number("FallMultiple", 1), guards.tenths("TipAfterNs", 0)),
-                new Desk(gate(family.text("GateMode", "first_voice")),
-                        family.tenths("VoteStandsNs", 0), family.tenths("SoakNs", 20_000),
-                        family.tenths("CallTimeoutNs", 0),
-                        family.index("NoesNeeded", 1), family.number("VotesPerS", 1),
-                        family.tenths("TallyEveryNs", 0) > 0 ? family.number("SampledShare", 0) : 0,
-                        family.tenths("TallyEveryNs", 0)),
-                new Exposure(family.has("Caps") ? family.numbers("Caps") : new double[0],
-                        family.has("Waves") ? family.numbers("Waves") : new double[0],
-                        family.tenths("WindowNs", 0), family.number("Uncounted", 0),
-                        family.text("CapScope", "all").equals("each_class"), family.index("Shielded", 0),
-                        family.flag("KeysStay", false)));
+        return new Cold(guards.number("ColdFrom", 1), guards.tenths("WarmAfterNs", 0),
+                guards.number("FallMultiple", 1), guards.tenths("TipAfterNs", 0));
+    }
+
+    public static Desk desk(Fields info) throws Malformed {
+        Fields family = info.part("FamilyInfo");
+        return new Desk(gate(family), family.tenths("VoteStandsNs", 0), family.tenths("SoakNs", 20_000),
+                family.tenths("CallTimeoutNs", 0), family.index("NoesNeeded", 1), family.number("VotesPerS", 1),
+                family.tenths("TallyEveryNs", 0) > 0 ? family.number("SampledShare", 0) : 0,
+                family.tenths("TallyEveryNs", 0));
+    }
+
+    public static Exposure exposure(Fields info) throws Malformed {
+        Fields family = info.part("FamilyInfo");
+        return new Exposure(family.has("Caps") ? family.numbers("Caps") : new double[0],
+                family.has("Waves") ? family.numbers("Waves") : new double[0],
+                family.tenths("WindowNs", 0), family.number("Uncounted", 0),
+                family.text("CapScope", "all").equals("each_class"), family.index("Shielded", 0),
+                family.flag("KeysStay", false));
+    }
+
+    public static Rules rules(long now, long seed, List<Method> methods, Fields info, Listing listing)
+            throws Malformed {
+        return new Rules(now, seed, info.index("FleetSize", 1), info.span("TickNs"), methods, tries(info), listing,
+                cold(info), desk(info), exposure(info));
     }
 
-    private static int effect(String word) throws Malformed {
-        switch (word) {
+    private static int effect(Fields method) throws Malformed {
+        switch (method.text("Effect")) {
             case "read_like":
                 return Method.IDEMPOTENT;
             case "idempotency_key":
@@ -78,12 +98,12 @@
             case "non_idempotent":
                 return Method.NON_IDEMPOTENT;
             default:
-                throw new Malformed("unknown Effect " + word);
+                throw method.fault("Effect", "is unknown: " + method.text("Effect"));
         }
     }
 
-    private static int scope(String word) throws Malformed {
-        switch (word) {
+    private static int scope(Fields method) throws Malformed {
+        switch (method.text("KeyScope", "all")) {
             case "all":
                 return Method.SCOPE_ALL;
             case "zone":
@@ -91,12 +111,12 @@
             case "cell":
                 return Method.SCOPE_CELL;
             default:
-                throw new Malformed("unknown KeyScope " + word);
+                throw method.fault("KeyScope", "is unknown: " + method.text("KeyScope"));
         }
     }
 
-    private static int gate(String word) throws Malformed {
-        switch (word) {
+    private static int gate(Fields family) throws Malformed {
+        switch (family.text("GateMode", "first_voice")) {
             case "first_voice":
                 return Desk.FIRST_VOICE;
             case "by_count":
@@ -104,7 +124,7 @@
             case "automatic":
                 return Desk.AUTOMATIC;
             default:
-                throw new Malformed("unknown GateMode " + word);
+                throw family.fault("GateMode", "is unknown: " + family.text("GateMode"));
         }
     }
 }
--- a/src/main/java/honeygap/read/Fields.java
+++ b/src/main/java/honeygap/read/Fields.java
@@ -16,17 +16,33 @@
     /** Tenths of a millisecond, the unit of the core, in the wire's nanoseconds. */
     public static final long NS = 100_000;
 
-    private static final Fields NONE = new Fields();
-
     private final Map<String, Object> values = new LinkedHashMap<>();
+    /** Where it stands: null at the top; a field of what it is in, and the place in its list, or less than none. */
+    private final Fields within;
+    private final String name;
+    private final int at;
+
+    /** An object without fields, on its own. */
+    public Fields() {
+        this(null, "", -1);
+    }
+
+    private Fields(Fields within, String name, int at) {
+        this.within = within;
+        this.name = name;
+        this.at = at;
+    }
 
     /** Reads the object that the parser has just entered. */
     public static Fields read(JsonParser in) throws IOException {
-        Fields fields = new Fields();
+        return read(in, new Fields(null, "", -1));
+    }
+
+    private static Fields read(JsonParser in, Fields fields) throws IOException {
         while (in.nextToken() != JsonToken.END_OBJECT) {
             String name = in.currentName();
             in.nextToken();
-            fields.values.put(name, value(in));
+            fields.values.put(name, value(in, fields, name, -1));
         }
         return fields;
     }
@@ -39,14 +55,14 @@
         return read(in);
     }
 
-    private static Object value(JsonParser in) throws IOException {
+    private static Object value(JsonParser in, Fields within, String name, int at) throws IOException {
         switch (in.currentToken()) {
             case START_OBJECT:
-                return read(in);
+                return read(in, new Fields(within, name, at));
             case START_ARRAY:
                 List<Object> list = new ArrayList<>();
                 while (in.nextToken() != JsonToken.END_ARRAY) {
-                    list.add(value(in));
+                    list.add(value(in, within, name, list.size()));
                 }
                 return list;
             case VALUE_STRING:
@@ -140,14 +156,32 @@
 
     /** An object that may be absent, and is empty then. */
     public Fields part(String name) throws Malformed {
-        return has(name) ? object(name) : NONE;
+        return has(name) ? object(name) : new Fields(this, name, -1);
+    }
+
+    /** What is wrong with a field, with its place from the top on. */
+    public Malformed fault(String name, String words) {
+        return new Malformed("field " + path() + name + " " + words);
+    }
+
+    private String path() {
+        return within == null ? "" : within.path() + name + (at < 0 ? "" : "[" + at + "]") + ".";
+    }
+
+    /** A duration that has to be longer than none, in tenths of a millisecond. */
+    public long span(String name) throws Malformed {
+        long tenths = tenths(name);
+        if (tenths <= 0) {
+            throw fault(name, "is no time at all: " + whole(name));
+        }
+        return tenths;
     }
 
     public List<Fields> objects(String name) throws Malformed {
         List<Fields> objects = new ArrayList<>();
         for (Object value : get(name, List.class, "a list")) {
             if (!(value instanceof Fields fields)) {
-                throw new Malformed("field " + name + " holds something other than objects");
+                throw fault(name, "holds something other than objects");
             }
             objects.add(fields);
         }
@@ -159,7 +193,7 @@
         double[] numbers = new double[list.size()];
         for (int i = 0; i < numbers.length; i++) {
             if (!(list.get(i) instanceof Number number)) {
-                throw new Malformed("field " + name + " holds something other than numbers");
+                throw fault(name, "holds something other than numbers");
             }
             numbers[i] = number.doubleValue();
         }
@@ -175,26 +209,26 @@
                 return new InetSocketAddress(words.substring(0, colon),
                         Integer.parseInt(words.substring(colon + 1)));
             } catch (IllegalArgumentException e) {
-                throw new Malformed("not an address: " + words);
+                throw fault(name, "is not an address: " + words);
             }
         }
-        throw new Malformed("not an address: " + words);
+        throw fault(name, "is not an address: " + words);
     }
 
     private <T> T get(String name, Class<T> type, String wanted) throws Malformed {
         Object value = values.get(name);
         if (value == null) {
-            throw new Malformed("field " + name + " is missing");
+            throw fault(name, "is missing");
         }
         if (!type.isInstance(value)) {
-            throw new Malformed("field " + name + " is not " + wanted);
+            throw fault(name, "is not " + wanted);
         }
         return type.cast(value);
     }
 
-    private static int small(String name, long value) throws Malformed {
+    private int small(String name, long value) throws Malformed {
         if (value < 0 || value > Integer.MAX_VALUE) {
-            throw new Malformed("field " + name + " is out of range: " + value);
+            throw fault(name, "is out of range: " + value);
         }
         return (int) value;
     }
--- a/src/test/java/honeygap/wire/WireHostTest.java
+++ b/src/test/java/honeygap/wire/WireHostTest.java
@@ -47,11 +47,11 @@
     @CsvSource(delimiter = ';', value = {
         "BOOT|{'cmd':'Left','Who':4,'Xid':'r'}; line 2: instance 4 is not running",
         "BOOT|{'cmd':'Fleet','Who':3,'Mode':'diff','Sheet':9}; line 2: list 9 was not sent",
-        "BOOT|{'cmd':'NewRequest','Who':3,'Xid':'r','Category':0}; line 2: field TimeBudgetNs is missing",
+        "BOOT|{'cmd':'NewRequest','Who':3,'Xid':'r','Category':0}; line 2: field msgs[0].TimeBudgetNs is missing",
         "BOOT|{'cmd':'NewRequest','Who':3,'Xid':'r','Category':7,'TimeBudgetNs':1}; line 2: unknown Cat",
-        "BOOT|{'cmd':'Left','Who':'3','Xid':'r'}; line 2: field Who is not a whole number",
-        "{'cmd':'Boot','Who':3,'InitSeed':1,'BootInfo':{'TickNs':1}}; line 1: field Classes is missing",
-        "{'Who':1}; line 1: field cmd is missing", "{; line 1: not JSON", "7; line 1: field msgs holds"})
+        "BOOT|{'cmd':'Left','Who':'3','Xid':'r'}; line 2: field msgs[0].Who is not a whole number",
+        "{'cmd':'Boot','Who':3,'InitSeed':1,'BootInfo':{'TickNs':1}}; line 1: field msgs[0].BootInfo.Classes is missing",
+        "{'Who':1}; line 1: field msgs[0].cmd is missing", "{; line 1: not JSON", "7; line 1: field msgs holds"})
     void faults(String batches, String fault) throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         ByteArrayOutputStream err = new ByteArrayOutputStream();
