secondAnswer's stand-in knows its copy before it answers

One of three runs of the test met a null: the stand-in set what the test calls only after its answer was out.

--- a/src/test/java/honeygap/net/Loopback.java
+++ b/src/test/java/honeygap/net/Loopback.java
@@ -269,8 +269,9 @@
                         out.write(row);
                         break;
                     case "copies":
-                        out.write(row);
+                        // Before the answer: whoever hears that may ask for the copy at once.
                         copy = () -> out.write(row("v0"));
+                        out.write(row);
                         break;
                     case "reset":
                         socket.close();
