--- /dev/null
+++ b/src/test/java/honeygap/cli/RestartedDuringDrainTest.java
@@ -0,0 +1,127 @@
+package honeygap.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import honeygap.standin.StoreServer;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * The incident of {@code docs/incidents/list-of-unknown-age.md} with a real process: killed, started again with the list of
+ * before, while discovery is too crowded to tell it that its appliance has been drained meanwhile.
+ */
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class RestartedDuringDrainTest {
+
+    private static final String WATCH = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final String NOTHING_NEW = "{\"index\":1,\"snapshot\":false,\"endpoints\":[]}\n";
+
+    @TempDir
+    private Path folder;
+
+    private final List<AutoCloseable> open = new ArrayList<>();
+
+    @AfterEach
+    void close() throws Exception {
+        for (AutoCloseable one : open) {
+            one.close();
+        }
+    }
+
+    /** Confirms the list to its first caller; later calls wait in its queue for ever. */
+    private final class CrowdedDiscovery {
+
+        private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        private final List<Socket> waiting = new ArrayList<>();
+
+        CrowdedDiscovery() throws IOException {
+            open.add(server);
+            Thread thread = new Thread(this::serve, "discovery");
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        private void serve() {
+            try {
+                answer(server.accept());
+                while (true) {
+                    waiting.add(server.accept());
+                }
+            } catch (IOException e) {
+                // The test is over.
+            }
+        }
+
+        private void answer(Socket caller) throws IOException {
+            new DataInputStream(caller.getInputStream()).read(new byte[4096]);
+            OutputStream out = caller.getOutputStream();
+            out.write(WATCH.getBytes(StandardCharsets.US_ASCII));
+            out.write((Integer.toHexString(NOTHING_NEW.length()) + "\r\n" + NOTHING_NEW + "\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+        }
+    }
+
+    private AgentProcess start(Path config) throws IOException {
+        AgentProcess agent = new AgentProcess(config, "");
+        open.add(agent);
+        return agent;
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    @Test
+    void doesNotSendByTheListOfBefore() throws Exception {
+        StoreServer appliance = new StoreServer(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        CrowdedDiscovery discovery = new CrowdedDiscovery();
+        int port = freePort();
+        String words = AgentProcess.config(port, appliance.address().getPort(), discovery.server.getLocalPort(), 256)
+                .replace("\"settings\": {", "\"settings\": {\"Rules\": {\"StopSendingWithinNs\": 500000000},");
+        Path config = Files.writeString(folder.resolve("agent.json"), words);
+        AgentProcess before = start(config);
+        assertNotNull(before.until("ready after"), before.log.toString());
+        assertEquals("TDCZ", askUntilServed(port));
+        before.signal("KILL");
+        before.ended();
+        // The appliance is drained now, which the new process has no way to know.
+        AgentProcess after = start(config);
+        assertNotNull(after.until("ready after"), after.log.toString());
+        try (AgentProcess.Client client = new AgentProcess.Client(port)) {
+            for (int i = 0; i < 20; i++) {
+                client.send("after" + i, 500);
+                assertEquals("EZ", client.hear(), "served by an appliance that may have been drained long ago");
+            }
+        }
+    }
+
+    private static String askUntilServed(int port) throws IOException {
+        String heard = "";
+        for (int i = 0; i < 200 && !heard.startsWith("T"); i++) {
+            try (AgentProcess.Client client = new AgentProcess.Client(port)) {
+                client.send("before" + i, 500);
+                heard = client.hear();
+            }
+        }
+        assertTrue(heard.startsWith("T"), heard);
+        return heard;
+    }
+}
