The list has a lease: an appliance is used while the list or its own answers say it serves

Class: state of a cache used past its validity, without a lease.

Change: rules.discovery.ListLease. Discovery's list holds for six seconds, the protocol's own bound, from when discovery last told changes or (a second less) a sign of life; a list of unknown age never held. Beyond that an appliance is used for as long after a pick that it answered was sent. What turns picks away while nobody tells what changes is left alone, longer each time. A process that starts listens when its list is confirmed, or after four seconds. Where the settings have no rule on drains there is no lease, nor on the simulator's wire, whose rule differs.

--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -4,6 +4,7 @@
 import honeygap.rules.builds.Exposing;
 import honeygap.rules.cold.ColdStarts;
 import honeygap.rules.discovery.ListCalls;
+import honeygap.rules.discovery.ListLease;
 import honeygap.rules.evidence.*;
 import honeygap.rules.health.Health;
 import honeygap.rules.room.Rooms;
@@ -31,6 +32,7 @@
     private final Fleet fleet;
     private final Tries tries;
     private final ListCalls listCalls;
+    private final ListLease lease;
     private final Exposing exposing;
     private final Health health;
     private final Rooms rooms;
@@ -51,6 +53,7 @@
         Chance chance = new Chance(seed);
         fleet = new Fleet(now, tick, agents, methods);
         listCalls = new ListCalls(now, chance, listing);
+        lease = new ListLease(fleet, listing);
         exposing = new Exposing(fleet, exposure);
         health = new Health(fleet);
         rooms = new Rooms(fleet, health, cold);
@@ -61,7 +64,7 @@
         votes = new Votes(fleet, chance, failures, slowness, counts, desk, exposure.waves(), onWait,
                 new Ballot());
         repeats = new Repeats(fleet, tries.most());
-        choice = new Choice(fleet, chance, exposing, failures, health, rooms, coldStarts, repeats);
+        choice = new Choice(fleet, chance, exposing, failures, health, rooms, coldStarts, repeats, lease);
     }
 
     public void now(long now) {
@@ -101,6 +104,7 @@
         health.way(pick.appliance.zone, rpc, outcome, lag);
         rooms.ended(pick, outcome, lag);
         health.ended(pick, outcome, lag);
+        lease.ended(pick, outcome);
         if (outcome == Pick.OK) {
             Work.answered(pick, onTrial(pick.build), lag);
             coldStarts.answered(pick);
@@ -171,12 +175,48 @@
         rooms.listed();
     }
 
+    /** Discovery has told all that had changed up to then; before the entries that it told. */
+    public void listConfirmed(long asOf) {
+        lease.confirmed(asOf);
+    }
+
+    /** Discovery said then that nothing had changed. */
+    public void listUnchanged(long asOf) {
+        lease.signOfLife(asOf);
+    }
+
     public void listTaken() {
         listCalls.taken();
     }
 
     public void listFailed() {
         listCalls.failed(fleet.now);
+        lease.watchLost();
+    }
+
+    /** Discovery is called at another address from now on. */
+    public void listMoved() {
+        lease.moved();
+    }
+
+    /** Whether clients may come yet: an agent that has just started waits for its list, for a while. */
+    public boolean mayOpen() {
+        return lease.mayOpen();
+    }
+
+    /** Whether the list is known to be current. */
+    public boolean isListConfirmed() {
+        return lease.isConfirmed();
+    }
+
+    /** How many appliances are known to serve, by the list or by their own answers. */
+    public long covered() {
+        return lease.covered();
+    }
+
+    /** Tenths of a millisecond since discovery last confirmed the list; negative where it never has. */
+    public long listAge() {
+        return lease.age();
     }
 
     /** Makes at most one call on {@code ctl}; false when there is nothing to decide now. */
--- a/src/main/java/honeygap/fleet/Appliance.java
+++ b/src/main/java/honeygap/fleet/Appliance.java
@@ -29,6 +29,11 @@
     public long awayUntil = Long.MIN_VALUE / 2;
     /** Gets nothing until then, by its own word. */
     public long barredUntil = Long.MIN_VALUE / 2;
+    /** When the last pick that it answered was sent. */
+    public long servedAt = Fleet.LONG_AGO;
+    /** Picks in a row that it has turned away while nobody told what changes in the list, and when the last one was. */
+    public int refusals;
+    public long refusedAt = Fleet.LONG_AGO;
     /** Work that this agent may send it while it is cold, and as of when. */
     public double credit;
     public long creditAt = Long.MIN_VALUE / 2;
@@ -44,5 +49,7 @@
         silent = 0;
         awayUntil = Fleet.LONG_AGO;
         barredUntil = Fleet.LONG_AGO;
+        servedAt = Fleet.LONG_AGO;
+        refusals = 0;
     }
 }
--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -23,6 +23,7 @@
     private final Loop loop;
     private final List<Protocol> protocols;
     private final List<InetSocketAddress> bound = new ArrayList<>();
+    private final CountDownLatch opens = new CountDownLatch(1);
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Map<String, Counters.Group> others = new LinkedHashMap<>();
     /** Takes clients; and has been told to end. Guarded by this. */
@@ -41,7 +42,7 @@
         this.protocols = List.copyOf(protocols);
     }
 
-    /** Warms up, then starts to serve; not where it has been told to end meanwhile. */
+    /** Warms up, waits for what it must know, then takes clients; not where it has been told to end meanwhile. */
     public void start() throws IOException {
         protocols.forEach(Protocol::prepare);
         synchronized (this) {
@@ -50,7 +51,14 @@
             }
             loop.post(() -> protocols.forEach(Protocol::begin));
             loop.post(this::report);
+            loop.post(this::openWhenReady);
             loop.start(protocols.stream().flatMap(protocol -> protocol.cores().stream()).toArray(Loop.Core[]::new));
+        }
+        awaitOpening();
+        synchronized (this) {
+            if (isLeaving) {
+                return;
+            }
             for (Protocol protocol : protocols) {
                 bound.add(protocol.listen());
             }
@@ -59,6 +67,23 @@
         Logger.info("ready after {} ms", loop.sinceStart());
     }
 
+    private void openWhenReady() {
+        if (protocols.stream().allMatch(Protocol::mayOpen)) {
+            opens.countDown();
+        } else {
+            loop.at(loop.now() + LOOK_EVERY, this::openWhenReady);
+        }
+    }
+
+    private void awaitOpening() throws IOException {
+        try {
+            opens.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted before the start", e);
+        }
+    }
+
     /** Where the protocol of this number takes clients. */
     public InetSocketAddress address(int protocol) {
         return bound.get(protocol);
--- a/src/main/java/honeygap/net/Protocol.java
+++ b/src/main/java/honeygap/net/Protocol.java
@@ -17,6 +17,11 @@
     /** On the loop, in its first turn. */
     void begin();
 
+    /** Whether clients may come yet; on the loop. */
+    default boolean mayOpen() {
+        return true;
+    }
+
     /** Lets clients come; where. */
     InetSocketAddress listen() throws IOException;
 
--- a/src/main/java/honeygap/net/Queries.java
+++ b/src/main/java/honeygap/net/Queries.java
@@ -31,6 +31,7 @@
     private static final long REHEARSED_MS = 50;
 
     private final Loop loop;
+    private final Rules rules;
     private final Core core;
     private final Clients clients;
     private final Links links;
@@ -58,7 +59,7 @@
         int sockets = told.part("limits").index("sockets", 1024);
         most = Math.max(2, sockets - RESERVE) / 2;
         Listing listing = Deployment.onSockets(info);
-        Rules rules = Deployment.rules(loop.clock(), seed, methods, info, listing);
+        rules = Deployment.rules(loop.clock(), seed, methods, info, listing);
         Map<String, Method> names = new HashMap<>();
         int at = 0;
         for (Fields method : info.objects("Classes")) {
@@ -101,6 +102,11 @@
         bulletin.listen();
     }
 
+    @Override
+    public boolean mayOpen() {
+        return rules.mayOpen();
+    }
+
     @Override
     public InetSocketAddress listen() throws IOException {
         return loop.listen(listen, 2 * most, clients.places(), clients::comer);
--- a/src/main/java/honeygap/net/Rehearsal.java
+++ b/src/main/java/honeygap/net/Rehearsal.java
@@ -58,6 +58,7 @@
         while (System.nanoTime() < end) {
             now += STEP;
             rules.now(now);
+            rules.listConfirmed(now);
             rules.woken();
             take(played++);
             while (rules.next(this)) {
--- a/src/main/java/honeygap/net/list/Registry.java
+++ b/src/main/java/honeygap/net/list/Registry.java
@@ -84,6 +84,7 @@
     public void move(InetSocketAddress address) {
         this.address = address;
         believesOlder = true;
+        loop.gather(rules::listMoved);
         if (watch != null) {
             watch();
         }
@@ -156,7 +157,9 @@
 
         @Override
         public void signOfLife() {
-            // Nothing has changed.
+            // What is read now came after the last turn began; later than that it is not known to hold.
+            long asOf = loop.now();
+            loop.gather(() -> rules.listUnchanged(asOf));
         }
     }
 
@@ -206,6 +209,10 @@
         }
         version = index;
         believesOlder = false;
+        if (!disk) {
+            long asOf = loop.now();
+            loop.gather(() -> rules.listConfirmed(asOf));
+        }
         tell(entries, kept, full && allNamed, disk);
     }
 
@@ -292,7 +299,9 @@
     @Override
     public void report(Counters counters) {
         counters.count("version", version);
+        counters.count("age ms", rules.listAge() < 0 ? -1 : rules.listAge() / TENTHS_A_MS);
         counters.count("appliances", remotes.size());
+        counters.count("covered", rules.covered());
         counters.count("failures", failures);
         failuresByKind.forEach((kind, count) -> counters.count("failed: " + kind, count));
         counters.count("unreadable entries", unreadable);
--- a/src/main/java/honeygap/read/Deployment.java
+++ b/src/main/java/honeygap/read/Deployment.java
@@ -32,7 +32,7 @@
 
     /** Where lists are pushed, the simulator's wire brings them by itself. */
     public static Listing onWire(Fields info) throws Malformed {
-        return new Listing(isAsked(info), !isAsked(info), mustAskIn(info));
+        return new Listing(isAsked(info), !isAsked(info), mustAskIn(info), 0);
     }
 
     private static boolean isAsked(Fields info) throws Malformed {
@@ -45,8 +45,10 @@
 
     /** On sockets a list comes by a watch alone, whether it is pushed or asked for: who opens none is told nothing. */
     public static Listing onSockets(Fields info) throws Malformed {
-        long within = mustAskIn(info);
-        return new Listing(true, !isAsked(info), within > 0 ? within : TOLD_WITHIN);
+        long within = mustAskIn(info) > 0 ? mustAskIn(info) : TOLD_WITHIN;
+        // Without a rule on drains there is nothing that an old list could break.
+        boolean hasDrainRule = info.part("Rules").has("StopSendingWithinNs");
+        return new Listing(true, !isAsked(info), within, hasDrainRule ? Math.min(within, TOLD_WITHIN) : 0);
     }
 
     private static long mustAskIn(Fields info) throws Malformed {
--- /dev/null
+++ b/src/main/java/honeygap/rules/discovery/ListLease.java
@@ -0,0 +1,108 @@
+package honeygap.rules.discovery;
+
+import honeygap.fleet.Appliance;
+import honeygap.fleet.Fleet;
+import honeygap.fleet.Pick;
+import honeygap.terms.Listing;
+
+/**
+ * Which appliances are still known to serve? Discovery's list is leased: it holds for a bounded time from when discovery
+ * last confirmed it. A list of unknown age, such as that of an earlier process, has no lease. An appliance that has
+ * answered served when it was asked, so it has a lease of its own from then on; one that turns a pick away while nobody
+ * tells what changes may be draining and is left alone for a while.
+ */
+public final class ListLease {
+
+    /** Part of the lease by which a sign of life may run ahead of changes that wait behind it in discovery's queue. */
+    private static final double SIGN_AHEAD = 1.0 / 6;
+    /** Part of the lease that is left of it where discovery has moved to another address. */
+    private static final double LEFT_AFTER_MOVE = 2.0 / 3;
+    /** Part of the lease for which an appliance is left alone after its first refusal; each further one doubles it. */
+    private static final double REFUSED_FIRST = 1.0 / 24;
+    /** Part of the lease for which an agent that starts waits for its first list before it takes clients. */
+    private static final double START_WAIT = 2.0 / 3;
+
+    private final Fleet fleet;
+    private final long duration;
+    private final long startedAt;
+    private long confirmedAt = Fleet.LONG_AGO;
+    private boolean isWatched;
+
+    public ListLease(Fleet fleet, Listing listing) {
+        this.fleet = fleet;
+        duration = listing.lease();
+        startedAt = fleet.now;
+    }
+
+    /** Discovery told what had changed up to then: all that it has named is as it says. */
+    public void confirmed(long asOf) {
+        if (!isWatched) {
+            fleet.appliances.forEach(appliance -> appliance.refusals = 0);
+        }
+        isWatched = true;
+        confirmedAt = Math.max(confirmedAt, asOf);
+    }
+
+    /** Discovery said that nothing has changed; a change may wait in its queue still. */
+    public void signOfLife(long asOf) {
+        confirmedAt = Math.max(confirmedAt, asOf - (long) (SIGN_AHEAD * duration));
+    }
+
+    /** Nobody tells what changes any more. */
+    public void watchLost() {
+        isWatched = false;
+    }
+
+    /** Discovery is asked at another address from now on, which may have told others more. */
+    public void moved() {
+        isWatched = false;
+        confirmedAt = Math.min(confirmedAt, fleet.now - (long) ((1 - LEFT_AFTER_MOVE) * duration));
+    }
+
+    /** A pick has ended: an answer shows that its appliance served when it was sent, a refusal that it may drain. */
+    public void ended(Pick pick, int outcome) {
+        Appliance appliance = pick.appliance;
+        if (outcome == Pick.OK) {
+            appliance.refusals = 0;
+            appliance.servedAt = Math.max(appliance.servedAt, pick.sentAt);
+        } else if (outcome == Pick.FULL && !isWatched) {
+            appliance.refusals++;
+            appliance.refusedAt = fleet.now;
+            appliance.servedAt = Fleet.LONG_AGO;
+        }
+    }
+
+    /** Whether the list itself is known to be current. */
+    public boolean isConfirmed() {
+        return duration == 0 || fleet.now < confirmedAt + duration;
+    }
+
+    /** Whether the appliance is known to serve, by the list or by its own answers. */
+    public boolean covers(Appliance appliance) {
+        return duration == 0 || !isRefusing(appliance)
+                && (isConfirmed() || fleet.now < appliance.servedAt + duration);
+    }
+
+    private boolean isRefusing(Appliance appliance) {
+        if (isWatched || appliance.refusals == 0) {
+            return false;
+        }
+        double wait = Math.min(1, REFUSED_FIRST * Math.pow(2, appliance.refusals - 1));
+        return fleet.now < appliance.refusedAt + (long) (wait * duration);
+    }
+
+    /** Whether clients may come: with a list that is current, or when waiting for one has taken long enough. */
+    public boolean mayOpen() {
+        return isConfirmed() || fleet.now >= startedAt + (long) (START_WAIT * duration);
+    }
+
+    /** How many of the appliances that serve by the list are known to do so now. */
+    public long covered() {
+        return fleet.appliances.stream().filter(one -> one.state == Appliance.UP && covers(one)).count();
+    }
+
+    /** Tenths of a millisecond since discovery last confirmed the list; negative where it never has. */
+    public long age() {
+        return confirmedAt == Fleet.LONG_AGO ? -1 : fleet.now - confirmedAt;
+    }
+}
--- a/src/main/java/honeygap/rules/routing/Choice.java
+++ b/src/main/java/honeygap/rules/routing/Choice.java
@@ -3,6 +3,7 @@
 import honeygap.fleet.*;
 import honeygap.rules.builds.Exposing;
 import honeygap.rules.cold.ColdStarts;
+import honeygap.rules.discovery.ListLease;
 import honeygap.rules.evidence.Failures;
 import honeygap.rules.fit.Fit;
 import honeygap.rules.health.Health;
@@ -12,7 +13,7 @@
 
 /** Which appliance gets the next pick of an RPC? */
 public record Choice(Fleet fleet, Chance chance, Exposing exposing, Failures failures, Health health,
-                     Rooms rooms, ColdStarts cold, Repeats repeats) {
+                     Rooms rooms, ColdStarts cold, Repeats repeats, ListLease lease) {
 
     public void sent(Pick pick) {
         if (pick.rpc.picks.size() == 1 && fleet.fitted != null) {
@@ -24,7 +25,7 @@
     private boolean allowed(Rpc rpc, Appliance appliance, Pick mayRun) {
         Location zone = appliance.zone;
         Build build = appliance.build;
-        return appliance.state == Appliance.UP && fleet.now >= appliance.barredUntil
+        return appliance.state == Appliance.UP && lease.covers(appliance) && fleet.now >= appliance.barredUntil
                 && (fleet.now >= zone.limitedUntil || zone.out < zone.most) && exposing.keyAllows(rpc, build)
                 && repeats.reaches(rpc, mayRun, appliance) && rooms.isFree(build, rpc)
                 && exposing.allows(build, rpc.method) && cold.bears(appliance, rpc);
--- a/src/test/java/honeygap/cli/RestartedDuringDrainTest.java
+++ b/src/test/java/honeygap/cli/RestartedDuringDrainTest.java
@@ -59,21 +59,29 @@
 
         private void serve() {
             try {
-                answer(server.accept());
+                boolean isAnswered = false;
                 while (true) {
-                    waiting.add(server.accept());
+                    Socket caller = server.accept();
+                    waiting.add(caller);
+                    isAnswered = isAnswered || answersList(caller);
                 }
             } catch (IOException e) {
                 // The test is over.
             }
         }
 
-        private void answer(Socket caller) throws IOException {
-            new DataInputStream(caller.getInputStream()).read(new byte[4096]);
+        /** Whether the call is for the list; the rollout desk is called at the same address. */
+        private boolean answersList(Socket caller) throws IOException {
+            byte[] head = new byte[4096];
+            int length = Math.max(0, new DataInputStream(caller.getInputStream()).read(head));
+            if (!new String(head, 0, length, StandardCharsets.US_ASCII).startsWith("GET /registry")) {
+                return false;
+            }
             OutputStream out = caller.getOutputStream();
             out.write(WATCH.getBytes(StandardCharsets.US_ASCII));
             out.write((Integer.toHexString(NOTHING_NEW.length()) + "\r\n" + NOTHING_NEW + "\r\n")
                     .getBytes(StandardCharsets.US_ASCII));
+            return true;
         }
     }
 
--- a/src/test/java/honeygap/net/AgentTest.java
+++ b/src/test/java/honeygap/net/AgentTest.java
@@ -131,6 +131,8 @@
         }
         for (int i = 0; i < asks; i++) {
             assertEquals("ok:v1", caller.ask("read", 900));
+            // It rests from its answer on: how long that took is not of the stage.
+            came = System.nanoTime();
         }
         byte[] half = query(statement("read", 900));
         caller.out.write(half, 0, Math.min(query, half.length - 1));
--- /dev/null
+++ b/src/test/java/honeygap/rules/discovery/ListLeaseRulesTest.java
@@ -0,0 +1,143 @@
+package honeygap.rules.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import honeygap.fleet.Appliance;
+import honeygap.fleet.Build;
+import honeygap.fleet.Fleet;
+import honeygap.fleet.Location;
+import honeygap.fleet.Method;
+import honeygap.fleet.Pick;
+import honeygap.fleet.Rpc;
+import honeygap.fleet.Tenant;
+import honeygap.terms.Listing;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What each age of the list allows. Times are tenths of a millisecond. */
+class ListLeaseRulesTest {
+
+    private static final long SECOND = Fleet.SECOND;
+    private static final long LEASE = 6 * SECOND;
+
+    private final Method method = new Method(0, Method.IDEMPOTENT, 0, 0, SECOND, 3 * SECOND, 1, 0);
+    private final Fleet fleet = new Fleet(0, 10, 100, List.of(method));
+    private final ListLease lease = new ListLease(fleet, new Listing(true, false, 10 * SECOND, LEASE));
+    private final Build build = new Build(1, 1);
+    private final Appliance one = listed(1);
+    private final Appliance other = listed(2);
+
+    private Appliance listed(long id) {
+        Appliance appliance = new Appliance(id);
+        fleet.listBegins(false, false);
+        fleet.listed(appliance, build, new Location(), 0, Appliance.UP, Fleet.LONG_AGO);
+        fleet.listEnds();
+        return appliance;
+    }
+
+    private ListLeaseRulesTest at(double second) {
+        fleet.now = (long) (second * SECOND);
+        return this;
+    }
+
+    private void answered(Appliance appliance, double sentAt, double endedAt, int outcome) {
+        at(sentAt);
+        Rpc rpc = new Rpc("r", method, new Tenant(), null, fleet.now, fleet.now + SECOND, 0, false);
+        Pick pick = new Pick(rpc, appliance, fleet.now, false);
+        at(endedAt);
+        pick.end(outcome);
+        lease.ended(pick, outcome);
+    }
+
+    @Test
+    void unknownAgeCoversNothing() {
+        assertFalse(lease.covers(one));
+        assertEquals(-1, lease.age());
+    }
+
+    @Test
+    void endsWhenNobodyConfirms() {
+        lease.confirmed(SECOND);
+        assertTrue(at(6.9).lease.covers(one));
+        assertFalse(at(7).lease.covers(one));
+    }
+
+    /** A sign of life may run ahead of a change that waits in discovery's queue. */
+    @Test
+    void signOfLifeCountsAsOfEarlier() {
+        lease.confirmed(SECOND);
+        lease.signOfLife(10 * SECOND);
+        assertTrue(at(14.9).lease.covers(one));
+        assertFalse(at(15).lease.covers(one));
+    }
+
+    /** Without discovery an agent goes on with those that answer, each for as long as a list would hold. */
+    @Test
+    void answersCoverTheirOwnApplianceFromWhenTheyWereAsked() {
+        lease.confirmed(0);
+        lease.watchLost();
+        answered(one, 5, 5.5, Pick.OK);
+        assertTrue(at(10.9).lease.covers(one));
+        assertFalse(lease.covers(other));
+        assertEquals(1, lease.covered());
+        assertFalse(at(11).lease.covers(one));
+    }
+
+    @Test
+    void noOtherOutcomeCovers() {
+        for (int outcome : new int[] {Pick.ERROR, Pick.FULL, Pick.TIMEOUT, Pick.CONNECT_FAILED, Pick.RESET,
+            Pick.CANCELLED, Pick.MOOT}) {
+            answered(one, 5, 5.5, outcome);
+            assertFalse(lease.covers(one), "outcome " + outcome);
+        }
+    }
+
+    /** While nobody tells what changes, one that refuses may drain: each refusal in a row keeps it away for longer. */
+    @Test
+    void refusalsCountWhileTheListIsOld() {
+        lease.confirmed(0);
+        answered(one, 1, 1, Pick.FULL);
+        assertTrue(lease.covers(one), "the list would say so");
+        lease.watchLost();
+        answered(one, 2, 2, Pick.FULL);
+        assertFalse(at(2.2).lease.covers(one));
+        assertTrue(at(2.3).lease.covers(one));
+        answered(one, 2.3, 2.3, Pick.FULL);
+        assertFalse(at(2.7).lease.covers(one));
+        answered(one, 2.9, 2.9, Pick.OK);
+        assertTrue(lease.covers(one));
+        answered(one, 3, 3, Pick.FULL);
+        lease.confirmed(fleet.now);
+        assertTrue(lease.covers(one), "the list says that it serves");
+    }
+
+    @Test
+    void endsSoonerWhereDiscoveryMoves() {
+        lease.confirmed(SECOND);
+        at(1).lease.moved();
+        assertTrue(at(4.9).lease.covers(one));
+        assertFalse(at(5).lease.covers(one));
+    }
+
+    /** Clients come when the list is current, or else when an agent has waited for two thirds of the lease. */
+    @Test
+    void opensWithACurrentListOrAfterAWhile() {
+        assertFalse(at(3.9).lease.mayOpen());
+        assertTrue(at(4).lease.mayOpen());
+        lease.confirmed(fleet.now);
+        assertTrue(lease.mayOpen());
+        ListLease soon = new ListLease(fleet, new Listing(true, false, 10 * SECOND, LEASE));
+        soon.confirmed(fleet.now);
+        assertTrue(soon.mayOpen());
+    }
+
+    @Test
+    void withoutALeaseEverythingIsCovered() {
+        ListLease none = new ListLease(fleet, new Listing(true, false, 10 * SECOND, 0));
+        assertTrue(at(1000).lease.mayOpen() && none.covers(one) && none.isConfirmed());
+        answered(one, 1, 1, Pick.FULL);
+        assertTrue(none.covers(one));
+    }
+}
