Clock steps, accept failures, dials of this machine, failed writes: told apart and gone on from

StartTimes: ages by the wall clock until a step is seen, from then on a new start counts from when it was heard of; another start is told by the list's own word. Manager.tick ran on the wall clock: monotonic now; what is restored open has its whole time anew. Retry-After as a date counts from the answer's own Date. Sites: an earlier life after a step back is found out by the others and raised (Table.raiseAbove): no fault. - Accept: any exception put MINA's acceptor to sleep for a second. Acceptor catches it and calls again after 10 ms, counted. A place is let go of when the descriptor is, a select later. An operation is answered as taken on when it is on the disk, or else 507. - Tokened repeats keep 0.15 s of the window for an agent that is held up between reading its clock and writing.

--- a/src/main/java/honeygap/manage/Operation.java
+++ b/src/main/java/honeygap/manage/Operation.java
@@ -7,7 +7,12 @@
 public final class Operation {
 
     /** How it stands as a whole. */
-    public enum State { RUNNING, PAUSED, CANCELLING, DONE, FAILED, CANCELLED }
+    public enum State { RUNNING, PAUSED, CANCELLING, DONE, FAILED, CANCELLED;
+
+        public boolean isOpen() {
+            return this == RUNNING || this == PAUSED || this == CANCELLING;
+        }
+    }
 
     /** By its asker; the same id is the same operation. */
     public final String id;
@@ -47,7 +52,7 @@
     }
 
     public boolean isOpen() {
-        return state == State.RUNNING || state == State.PAUSED || state == State.CANCELLING;
+        return state.isOpen();
     }
 
     /** Whether it is the same command, whoever gave it another id. */
@@ -70,9 +75,14 @@
     }
 
     public static Operation of(Written written) {
+        return restored(written, written.askedAt);
+    }
+
+    /** The same with its whole time from then on. */
+    static Operation restored(Written written, long askedAt) {
         Operation operation = new Operation(written.id, written.number, written.action, written.argument,
                 written.steps.stream().map(step -> step.instance).toList(), written.atOnce, written.failuresToPause,
-                written.askedAt, written.deadline);
+                askedAt, askedAt + written.deadline - written.askedAt);
         operation.state = written.state;
         for (int i = 0; i < written.steps.size(); i++) {
             WrittenStep from = written.steps.get(i);
--- a/src/main/java/honeygap/manage/Operations.java
+++ b/src/main/java/honeygap/manage/Operations.java
@@ -65,8 +65,18 @@
         this.now = now;
     }
 
-    /** An operation as it was kept before a restart: what was on its way may have arrived or not. */
-    public void restored(Operation operation) {
+    /** One that was just asked for can't be written down: nobody was told that it was taken on. */
+    public void withdrawn(Operation operation) {
+        operations.remove(operation.id);
+        toKeep.removeIf(other -> other == operation);
+    }
+
+    /**
+     * An operation as it was kept before a restart: what was on its way may have arrived or not. Its time begins anew where
+     * it is open: the wall clock may have been stepped meanwhile, and does not say how much of it is left.
+     */
+    public void restored(Operation kept) {
+        Operation operation = Operation.restored(kept.written(), kept.isOpen() ? now : now - SAME_WITHIN);
         operations.put(operation.id, operation);
         numbers = Math.max(numbers, operation.number);
         for (Step step : operation.steps) {
@@ -204,9 +214,11 @@
     /** Makes at most one call; false when there is nothing to decide now. */
     public boolean next(Out out) {
         if (!toKeep.isEmpty()) {
-            Operation operation = toKeep.remove(0);
+            Operation operation = toKeep.get(0);
             settle(operation);
+            // Where it can't be written down it stays first in line, and nothing else goes out before it.
             out.keep(operation);
+            toKeep.remove(0);
             return true;
         }
         for (Operation operation : operations.values()) {
@@ -289,7 +301,7 @@
                 step.tries++;
                 step.patienceAt = now + PATIENCE;
                 // It is written down as sent before it is: after a restart it counts as unknown.
-                out.keep(operation);
+                keepSent(operation, step, out);
                 out.send(operation, step, member.generation);
                 return true;
             }
@@ -297,6 +309,18 @@
         return false;
     }
 
+    /** Where it can't be written down as sent it is not sent, and is tried again later. */
+    private void keepSent(Operation operation, Step step, Out out) {
+        try {
+            out.keep(operation);
+        } catch (RuntimeException e) {
+            step.state = Step.State.PLANNED;
+            step.dueAt = now + pause(step.tries);
+            toKeep.add(operation);
+            throw e;
+        }
+    }
+
     /** Known to be alive, and no more on their way or out of service than may be. */
     private boolean mayGo(Operation operation, Step step) {
         Membership.Member member = membership.member(step.instance);
--- a/src/main/java/honeygap/manage/host/Log.java
+++ b/src/main/java/honeygap/manage/host/Log.java
@@ -14,27 +14,50 @@
 import java.util.List;
 import org.h2.mvstore.MVMap;
 import org.h2.mvstore.MVStore;
+import org.h2.mvstore.MVStoreException;
 
 /** Operations on disk, by their numbers, in an embedded store: what is kept is there after any crash. */
 public final class Log implements AutoCloseable {
 
-    private final MVStore store;
-    private final MVMap<Long, String> operations;
+    private final Path file;
+    private MVStore store;
+    private MVMap<Long, String> operations;
 
     public Log(Path file) {
+        this.file = file;
+        open();
+    }
+
+    private void open() {
         store = new MVStore.Builder().fileName(file.toString()).autoCommitDisabled().open();
         operations = store.openMap("operations");
     }
 
-    /** Comes back once it is on the disk. */
+    /**
+     * Comes back once it is on the disk. A store closes itself when a write fails, and what was put into it would go with
+     * the next one: it is opened anew from what the disk has, at once or, while that fails too, at the next call.
+     */
     public void keep(Operation.Written written) throws IOException {
-        operations.put(written.number(), json(written));
-        store.commit();
-        store.sync();
+        try {
+            reopen();
+            operations.put(written.number(), json(written));
+            store.commit();
+            store.sync();
+        } catch (MVStoreException e) {
+            store.closeImmediately();
+            throw new IOException(e.getMessage(), e);
+        }
+    }
+
+    private void reopen() {
+        if (store.isClosed()) {
+            open();
+        }
     }
 
     /** All that is kept, oldest first. */
     public List<Operation.Written> read() throws IOException {
+        reopen();
         List<Operation.Written> all = new ArrayList<>();
         for (String words : operations.values()) {
             all.add(read(words));
@@ -44,6 +67,7 @@
 
     /** Forgets what has ended and is older than the newest so many; the file shrinks. */
     public void compact(int kept) throws IOException {
+        reopen();
         for (Long number : List.copyOf(operations.keySet())) {
             if (operations.size() > kept && !Operation.of(read(operations.get(number))).isOpen()) {
                 operations.remove(number);
--- a/src/main/java/honeygap/manage/host/Manager.java
+++ b/src/main/java/honeygap/manage/host/Manager.java
@@ -42,6 +42,8 @@
 public final class Manager implements Operations.Out, AutoCloseable {
 
     private static final int KEPT = 1000;
+    /** Tries to write come every 50 ms while the disk fails. */
+    private static final int LOG_EVERY = 200;
     private static final long COMPACT_S = 600;
 
     /** What an agent said of itself last. */
@@ -54,6 +56,10 @@
     private final FleetSheet sheet;
     private final String token;
     private final Log log;
+    /** The wall clock when it started, for people, and the monotonic clock then, by which all times go on. */
+    private final long zeroMs;
+    private final long zeroNanos;
+    private long notKept;
     private final Membership membership;
     private final Operations operations;
     private final Map<String, Seen> seen = new HashMap<>();
@@ -73,6 +79,8 @@
             throw new Malformed("a manager listens on loopback alone unless it has a token: " + sheet.listen);
         }
         log = new Log(sheet.store);
+        zeroMs = System.currentTimeMillis();
+        zeroNanos = System.nanoTime();
         membership = new Membership(sheet.every);
         operations = new Operations(System.nanoTime(), membership);
         tick();
@@ -108,6 +116,8 @@
     private static void guarded(Runnable task) {
         try {
             task.run();
+        } catch (UncheckedIOException e) {
+            Logger.debug(e, "not written down, told where it happened");
         } catch (RuntimeException e) {
             Logger.error(e, "a fault, gone on from");
         }
@@ -121,9 +131,13 @@
         }
     }
 
-    /** Tenths of a millisecond since 1970: it goes on over a restart. */
+    /** Milliseconds since 1970 as of the start; a step of the wall clock since then does not show. */
+    private long nowMs() {
+        return zeroMs + (System.nanoTime() - zeroNanos) / 1_000_000;
+    }
+
     private void tick() {
-        long now = System.currentTimeMillis() * 10;
+        long now = nowMs() * 10;
         membership.now(now);
         operations.now(now);
     }
@@ -179,7 +193,7 @@
                         return;
                     }
                     instance.said = said;
-                    instance.at = System.currentTimeMillis();
+                    instance.at = nowMs();
                     instance.fault = "";
                     if (membership.sign(one.name(), Long.parseLong(said.text("generation")))) {
                         Logger.info("{} is another process than before", one.name());
@@ -204,6 +218,10 @@
         try {
             log.keep(operation.written());
         } catch (IOException e) {
+            if (notKept++ % LOG_EVERY == 0) {
+                Logger.warn("operation {} can't be written down, tried again: {}; {} such so far", operation.id,
+                        e.getMessage(), notKept);
+            }
             throw new UncheckedIOException(e);
         }
     }
@@ -280,8 +298,15 @@
             thread.execute(() -> {
                 try {
                     tick();
-                    done.complete(answer(exchange.getRequestMethod(), exchange.getRequestURI().getPath(), body));
+                    Answer made = answer(exchange.getRequestMethod(), exchange.getRequestURI().getPath(), body);
+                    // What is answered as done is on the disk.
                     pull();
+                    done.complete(made);
+                } catch (UncheckedIOException e) {
+                    done.complete(new Answer(507, "{\"error\":" + quoted("not written down yet, tried again: "
+                            + e.getCause().getMessage()) + "}"));
+                } catch (NotKept e) {
+                    done.complete(new Answer(507, "{\"error\":" + quoted(e.getMessage()) + "}"));
                 } catch (IOException | Malformed e) {
                     done.complete(new Answer(400, "{\"error\":" + quoted(String.valueOf(e.getMessage())) + "}"));
                 } catch (RuntimeException e) {
@@ -344,10 +369,33 @@
         Operation operation = operations.asked(told.text("id"), told.text("action"), told.text("argument", ""), instances,
                 told.index("atOnce", 1), told.index("failuresToPause", 1), 10L * told.index("withinMs", 60_000),
                 told.flag("again", false), taken);
+        if (taken[0] == Operations.Taken.NEW) {
+            keepNew(operation);
+        }
         String word = "{\"taken\":\"" + taken[0] + "\",\"operation\":" + Log.json(operation.written()) + "}";
         return new Answer(taken[0] == Operations.Taken.BUSY || taken[0] == Operations.Taken.INVALID ? 409 : 200, word);
     }
 
+    /** What is answered as taken on is on the disk; what can't be written down is not taken on. */
+    private void keepNew(Operation operation) throws IOException {
+        try {
+            log.keep(operation.written());
+        } catch (IOException e) {
+            operations.withdrawn(operation);
+            throw new NotKept(e);
+        }
+    }
+
+    /** What was asked for can't be written down: nothing of it will be done. */
+    private static final class NotKept extends IOException {
+
+        private static final long serialVersionUID = 1;
+
+        NotKept(IOException cause) {
+            super("not taken on, it can't be written down: " + cause.getMessage(), cause);
+        }
+    }
+
     private String fleet() throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (JsonGenerator out = new JsonFactory().createGenerator(bytes)) {
@@ -365,7 +413,7 @@
                 out.writeNumberField("restarts", member.restarts);
                 out.writeBooleanField("drained", operations.drained().contains(instance.name()));
                 out.writeNumberField("clients", now.said == null ? -1 : clients(now.said));
-                out.writeNumberField("ageMs", now.at == 0 ? -1 : System.currentTimeMillis() - now.at);
+                out.writeNumberField("ageMs", now.at == 0 ? -1 : nowMs() - now.at);
                 out.writeStringField("fault", now.fault);
                 out.writeObjectFieldStart("labels");
                 for (Map.Entry<String, String> label : instance.labels().entrySet()) {
--- /dev/null
+++ b/src/main/java/honeygap/net/Acceptor.java
@@ -0,0 +1,77 @@
+package honeygap.net;
+
+import java.io.IOException;
+import java.nio.channels.ServerSocketChannel;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.mina.core.service.IoProcessor;
+import org.apache.mina.core.service.SimpleIoProcessorPool;
+import org.apache.mina.transport.socket.nio.NioSession;
+import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
+import org.tinylog.Logger;
+
+/**
+ * Accepts connections up to a number of places. Guards against a flood of connections that takes all descriptors before
+ * the loop has seen the first of them: beyond its places they wait with the system until others have gone. A call that fails for a
+ * moment is made again soon; left to MINA, each such failure would stop all accepting for a second.
+ */
+class Acceptor extends NioSocketAcceptor {
+
+    private static final long PLACE_WAIT_MS = 1000;
+    /** The pause after a call that failed; the pauses of a process that has no descriptors left are not to fill its core. */
+    private static final long FAILURE_PAUSE_MS = 10;
+    private static final long FAILURES_A_LOG_LINE = 100;
+
+    private final Loop loop;
+    private final Semaphore places;
+    private final AtomicLong failures = new AtomicLong();
+
+    Acceptor(Loop loop, Executor executor, SimpleIoProcessorPool<NioSession> pool, int places) {
+        super(executor, pool);
+        this.loop = loop;
+        this.places = new Semaphore(places);
+        // Whoever has been taken is served, also when no more are.
+        setCloseOnDeactivation(false);
+    }
+
+    @Override
+    protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel handle) throws Exception {
+        if (!places.tryAcquire(PLACE_WAIT_MS, TimeUnit.MILLISECONDS)) {
+            return null;
+        }
+        NioSession session = null;
+        try {
+            session = call(processor, handle);
+        } catch (IOException e) {
+            failed(e);
+        } finally {
+            if (session == null) {
+                places.release();
+            }
+        }
+        if (session != null) {
+            // Closed is not gone: the system's descriptor is let go of when the loop selects the next time.
+            session.getCloseFuture().addListener(closed -> loop.post(() -> loop.at(loop.now() + 1, places::release)));
+        }
+        return session;
+    }
+
+    /** The system's call. */
+    NioSession call(IoProcessor<NioSession> processor, ServerSocketChannel handle) throws Exception {
+        return super.accept(processor, handle);
+    }
+
+    private void failed(IOException why) throws InterruptedException {
+        if (failures.getAndIncrement() % FAILURES_A_LOG_LINE == 0) {
+            Logger.warn("a connection could not be accepted, tried again: {}; {} such so far", why.getMessage(),
+                    failures.get());
+        }
+        Thread.sleep(FAILURE_PAUSE_MS);
+    }
+
+    long failures() {
+        return failures.get();
+    }
+}
--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -116,6 +116,8 @@
             all.count("broken", Loop.broken());
             all.count("rereads", rereads);
             all.count("not read", unread);
+            all.count("accept failures", loop.acceptFailures());
+            all.count("own dial failures", loop.ownDialFailures());
             all.count("first RPC ms", loop.firstRpcAfter());
         });
         protocols.forEach(protocol -> protocol.report(counters));
--- a/src/main/java/honeygap/net/Loop.java
+++ b/src/main/java/honeygap/net/Loop.java
@@ -1,9 +1,11 @@
 package honeygap.net;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
+import java.net.SocketException;
 import java.nio.ByteBuffer;
-import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -13,17 +15,14 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.apache.mina.core.future.ConnectFuture;
-import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.core.service.SimpleIoProcessorPool;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.SocketSessionConfig;
 import org.apache.mina.transport.socket.nio.NioSession;
-import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import org.apache.mina.util.ExceptionMonitor;
 import org.tinylog.Logger;
@@ -88,7 +87,8 @@
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final SimpleIoProcessorPool<NioSession> pool;
     private final NioSocketConnector connector;
-    private final List<NioSocketAcceptor> acceptors = new ArrayList<>();
+    private final List<Acceptor> acceptors = new ArrayList<>();
+    private final AtomicLong ownDialFailures = new AtomicLong();
     private final long zero = System.nanoTime();
     private final boolean isEager;
     private long timerCount;
@@ -203,47 +203,21 @@
         started.start();
     }
 
-    /**
-     * Guards against a flood of connections that takes all descriptors before the loop has seen the first of them:
-     * beyond its places they wait with the system until others have gone.
-     */
-    private static final class Acceptor extends NioSocketAcceptor {
-
-        private static final long WAIT_MS = 1000;
-
-        private final Semaphore places;
+    /** Where it listens, which tells the port where none was named; before the next call, from one thread. */
+    public InetSocketAddress listen(InetSocketAddress address, int backlog, int places, Supplier<Peer> comers)
+            throws IOException {
+        return listen(address, backlog, (executor, pool) -> new Acceptor(this, executor, pool, places), comers);
+    }
 
-        Acceptor(Executor executor, SimpleIoProcessorPool<NioSession> pool, int places) {
-            super(executor, pool);
-            this.places = new Semaphore(places);
-            // Whoever has been taken is served, also when no more are.
-            setCloseOnDeactivation(false);
-        }
+    /** Makes what accepts connections on a thread of this executor and hands them to this pool. */
+    interface Accepting {
 
-        @Override
-        protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel handle) throws Exception {
-            if (!places.tryAcquire(WAIT_MS, TimeUnit.MILLISECONDS)) {
-                return null;
-            }
-            NioSession session = null;
-            try {
-                session = super.accept(processor, handle);
-            } finally {
-                if (session == null) {
-                    places.release();
-                }
-            }
-            if (session != null) {
-                session.getCloseFuture().addListener(closed -> places.release());
-            }
-            return session;
-        }
+        Acceptor make(Executor executor, SimpleIoProcessorPool<NioSession> pool);
     }
 
-    /** Where it listens, which tells the port where none was named; before the next call, from one thread. */
-    public InetSocketAddress listen(InetSocketAddress address, int backlog, int places, Supplier<Peer> comers)
+    InetSocketAddress listen(InetSocketAddress address, int backlog, Accepting accepting, Supplier<Peer> comers)
             throws IOException {
-        NioSocketAcceptor acceptor = new Acceptor(this::onOwnThread, pool, places);
+        Acceptor acceptor = accepting.make(this::onOwnThread, pool);
         acceptor.setHandler(new Door(this, comers));
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(backlog);
@@ -256,7 +230,7 @@
     /** Takes no new connections from then on; those that are there go on. Done is told on the loop. */
     void shut(Runnable done) {
         onOwnThread(() -> {
-            acceptors.forEach(NioSocketAcceptor::unbind);
+            acceptors.forEach(Acceptor::unbind);
             post(done);
         });
     }
@@ -267,12 +241,30 @@
                 (session, connecting) -> session.setAttribute(Door.PEER, peer));
         future.addListener(done -> {
             if (!((ConnectFuture) done).isConnected()) {
-                post(peer::unreachable);
+                boolean isOurs = isOfThisMachine(((ConnectFuture) done).getException());
+                ownDialFailures.addAndGet(isOurs ? 1 : 0);
+                post(isOurs ? peer::notDialled : peer::unreachable);
             }
         });
         return future;
     }
 
+    /** Refused, or timed out, is the other side's word; no descriptor, port or route for it is this machine's own. */
+    private static boolean isOfThisMachine(Throwable why) {
+        return why instanceof SocketException && !(why instanceof ConnectException)
+                && !(why instanceof NoRouteToHostException);
+    }
+
+    /** Connections that this machine could not begin to open. */
+    long ownDialFailures() {
+        return ownDialFailures.get();
+    }
+
+    /** Calls for a new connection that failed and were made again. */
+    long acceptFailures() {
+        return acceptors.stream().mapToLong(Acceptor::failures).sum();
+    }
+
     /** Ends the sending at once, so that a pick given up is over before the next one goes out. */
     public void cut(IoSession session) {
         if (session.getAttribute(Turns.CHANNEL) instanceof SocketChannel channel) {
@@ -351,10 +343,11 @@
 
     /** Closes everything; from another thread only. */
     public void end() {
-        acceptors.forEach(NioSocketAcceptor::dispose);
+        // First: a turn that comes while it closes must not dial any more.
+        over = true;
+        acceptors.forEach(Acceptor::dispose);
         connector.dispose();
         pool.dispose();
-        over = true;
     }
 
     @Override
@@ -373,9 +366,12 @@
         }
     }
 
-    /** One turn: tells all that was gathered, pulls the decisions dry. */
+    /** One turn: tells all that was gathered, pulls the decisions dry; none any more once it is over. */
     void turn() {
         now = clock();
+        if (over) {
+            return;
+        }
         for (Core core : cores) {
             guarded(() -> core.now(now));
         }
--- a/src/main/java/honeygap/net/Peer.java
+++ b/src/main/java/honeygap/net/Peer.java
@@ -11,6 +11,11 @@
     /** The connection never came up. */
     void unreachable();
 
+    /** This machine could not begin to open it, which says nothing of the other side. */
+    default void notDialled() {
+        unreachable();
+    }
+
     /** Bytes came in; they stay as they are and may be kept. */
     void received(ByteBuffer bytes);
 
--- a/src/main/java/honeygap/net/door/LedgerFile.java
+++ b/src/main/java/honeygap/net/door/LedgerFile.java
@@ -23,10 +23,67 @@
  */
 final class LedgerFile implements AutoCloseable {
 
-    private final FileChannel channel;
+    /** Where lines are written: a file, or a stand-in whose writes fail. */
+    interface Medium extends AutoCloseable {
+
+        /** Writes at the end; a part of the bytes may be written. */
+        void write(ByteBuffer bytes) throws IOException;
+
+        void force() throws IOException;
+
+        long size() throws IOException;
+
+        void truncate(long size) throws IOException;
+
+        @Override
+        void close() throws IOException;
+    }
+
+    private record FileMedium(FileChannel channel) implements Medium {
+
+        @Override
+        public void write(ByteBuffer bytes) throws IOException {
+            channel.write(bytes);
+        }
+
+        @Override
+        public void force() throws IOException {
+            channel.force(false);
+        }
+
+        @Override
+        public long size() throws IOException {
+            return channel.size();
+        }
+
+        @Override
+        public void truncate(long size) throws IOException {
+            channel.truncate(size);
+        }
+
+        @Override
+        public void close() throws IOException {
+            channel.close();
+        }
+    }
+
+    private final Medium medium;
     private final Ledger ledger;
+    /** Up to there every line is whole and was forced out. */
+    private long keptSize;
 
     LedgerFile(Path file, Ledger ledger) throws IOException {
+        this(file, ledger, path -> new FileMedium(FileChannel.open(path, StandardOpenOption.WRITE,
+                StandardOpenOption.APPEND)));
+    }
+
+    /** Opens the medium of a file. */
+    interface Opening {
+
+        Medium open(Path file) throws IOException;
+    }
+
+    LedgerFile(Path file, Ledger ledger, Opening opening) throws IOException {
         this.ledger = ledger;
         if (Files.exists(file)) {
             List<String> lines = List.of(Files.readString(file, StandardCharsets.UTF_8).split("\n"));
@@ -44,7 +101,16 @@
             out.force(true);
         }
         Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-        channel = FileChannel.open(file, StandardOpenOption.WRITE, StandardOpenOption.APPEND);
+        forceFolder(file);
+        medium = opening.open(file);
+        keptSize = medium.size();
+    }
+
+    /** The new name of a file is on the disk only when its folder is. */
+    private static void forceFolder(Path file) throws IOException {
+        try (FileChannel folder = FileChannel.open(file.toAbsolutePath().getParent(), StandardOpenOption.READ)) {
+            folder.force(true);
+        }
     }
 
     private void read(Path file, String line, boolean isLast) throws IOException {
@@ -75,17 +141,40 @@
         return words + "\n";
     }
 
-    /** Comes back once the entry will be there after any crash. */
+    /**
+     * Comes back once the entry will be there after any crash. Where that fails nothing of it stays: the next line must not
+     * follow half a one, nor may a command be found at the next start that was answered as not carried out.
+     */
     void keep(Ledger.Entry entry) throws IOException {
+        dropRest();
         ByteBuffer bytes = ByteBuffer.wrap(line(entry).getBytes(StandardCharsets.UTF_8));
-        while (bytes.hasRemaining()) {
-            channel.write(bytes);
+        long size = keptSize + bytes.remaining();
+        try {
+            while (bytes.hasRemaining()) {
+                medium.write(bytes);
+            }
+            medium.force();
+            keptSize = size;
+        } catch (IOException e) {
+            try {
+                dropRest();
+            } catch (IOException again) {
+                // Tried again before the next line is written.
+                e.addSuppressed(again);
+            }
+            throw e;
+        }
+    }
+
+    /** Cuts off what a failed write has left. */
+    private void dropRest() throws IOException {
+        if (medium.size() > keptSize) {
+            medium.truncate(keptSize);
         }
-        channel.force(false);
     }
 
     @Override
     public void close() throws IOException {
-        channel.close();
+        medium.close();
     }
 }
--- a/src/main/java/honeygap/net/links/Link.java
+++ b/src/main/java/honeygap/net/links/Link.java
@@ -150,6 +150,11 @@
         end(Pick.CONNECT_FAILED);
     }
 
+    @Override
+    public final void notDialled() {
+        end(Pick.MOOT);
+    }
+
     @Override
     public final void written() {
         handedOver |= ready && call != null;
--- a/src/main/java/honeygap/net/links/Remote.java
+++ b/src/main/java/honeygap/net/links/Remote.java
@@ -8,6 +8,8 @@
 public final class Remote extends Appliance {
 
     public InetSocketAddress address;
+    /** When its process started by the list's own word, a wall-clock time in milliseconds; 0 is long ago. */
+    public long sinceMs;
     /** The one used last at the end. */
     final ArrayDeque<Link> idle = new ArrayDeque<>();
 
--- a/src/main/java/honeygap/net/list/Registry.java
+++ b/src/main/java/honeygap/net/list/Registry.java
@@ -5,7 +5,6 @@
 import honeygap.Rules;
 import honeygap.fleet.Appliance;
 import honeygap.fleet.Build;
-import honeygap.fleet.Fleet;
 import honeygap.fleet.Location;
 import honeygap.net.Back;
 import honeygap.net.Core;
@@ -19,6 +18,7 @@
 import honeygap.read.Malformed;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -43,8 +43,7 @@
     private final IntFunction<Build> builds;
     private InetSocketAddress address;
     private final long answerWithin;
-    /** Unix time, in milliseconds, at the loop's zero. */
-    private final long zeroMs;
+    private final StartTimes startTimes;
     private final JsonFactory json = new JsonFactory();
     private final Map<String, Remote> remotes = new HashMap<>();
     private final Map<String, Location> locations = new HashMap<>();
@@ -72,7 +71,7 @@
         answerWithin = (askWithin > 0 ? askWithin : BEATS_TO_SILENCE * BEAT) / 2;
         failureLog = new OncePerSecond(loop);
         unreadableLog = new OncePerSecond(loop);
-        zeroMs = System.currentTimeMillis() - loop.clock() / 10;
+        startTimes = new StartTimes(InstantSource.system(), loop::clock);
     }
 
     /** The list as it was last known, perhaps long ago. */
@@ -269,10 +268,14 @@
     }
 
     private void tell(ListEntry entry) {
+        boolean isKnown = remotes.containsKey(entry.name());
         Remote remote = remotes.computeIfAbsent(entry.name(), name -> (Remote) back.appliance(named++));
-        long startedAt = entry.sinceMs() == 0 ? Fleet.LONG_AGO : TENTHS_A_MS * (entry.sinceMs() - zeroMs);
+        // By the list's own word: what it comes to by a clock that was stepped would look like another start.
+        boolean hasStarted = !isKnown || remote.sinceMs != entry.sinceMs();
+        long startedAt = hasStarted ? startTimes.startedAt(entry.sinceMs()) : remote.startedAt;
+        remote.sinceMs = entry.sinceMs();
         boolean hasMoved = entry.address() != null && !entry.address().equals(remote.address);
-        if (hasMoved || remote.startedAt != startedAt) {
+        if (hasMoved || hasStarted) {
             back.dropIdle(remote);
         }
         remote.address = entry.address() != null ? entry.address() : remote.address;
@@ -306,5 +309,6 @@
         failuresByKind.forEach((kind, count) -> counters.count("failed: " + kind, count));
         counters.count("unreadable entries", unreadable);
         counters.count("older", older);
+        counters.count("clock stepped", startTimes.hasStepped() ? 1 : 0);
     }
 }
--- a/src/main/java/honeygap/net/servers/Server.java
+++ b/src/main/java/honeygap/net/servers/Server.java
@@ -35,6 +35,7 @@
     private byte[] host;
     private int status;
     private boolean isLast;
+    private String saidAt;
     private String awayUntil;
     private boolean whole;
 
@@ -65,6 +66,7 @@
         length = 0;
         isLast = false;
         awayUntil = null;
+        saidAt = null;
         session.write(new Gathered(((Ask) call).request().parts(host)));
     }
 
@@ -106,6 +108,9 @@
             case "retry-after":
                 awayUntil = value;
                 break;
+            case "date":
+                saidAt = value;
+                break;
             default:
                 break;
         }
@@ -137,7 +142,7 @@
         whole = true;
         Ask ask = (Ask) call;
         if (awayUntil != null && (status == 429 || status == 503)) {
-            ask.stayAway(remote, tenths(awayUntil));
+            ask.stayAway(remote, tenths(awayUntil, saidAt));
         }
         boolean last = isLast;
         finish(outcome(ask));
@@ -164,14 +169,19 @@
         }
     }
 
-    /** Seconds or a date, in tenths of a millisecond from now; what is neither is no wait. */
-    private static long tenths(String words) {
+    /**
+     * Seconds or a date, in tenths of a millisecond from now; what is neither is no wait. A date counts from the server's
+     * own, where it says one: this machine's clock may have been stepped since.
+     */
+    private static long tenths(String words, String saidAt) {
         try {
             if (words.matches("[0-9]{1,9}")) {
                 return Math.min(LONGEST_AWAY, Long.parseLong(words)) * 10_000;
             }
             ZonedDateTime date = ZonedDateTime.parse(words, DateTimeFormatter.RFC_1123_DATE_TIME);
-            Duration left = Duration.between(Instant.now(), date.toInstant());
+            Instant from = saidAt == null ? Instant.now()
+                    : ZonedDateTime.parse(saidAt, DateTimeFormatter.RFC_1123_DATE_TIME).toInstant();
+            Duration left = Duration.between(from, date.toInstant());
             return Math.max(0, Math.min(LONGEST_AWAY, left.getSeconds()) * 10_000);
         } catch (DateTimeParseException e) {
             return 0;
--- a/src/main/java/honeygap/rules/routing/Repeats.java
+++ b/src/main/java/honeygap/rules/routing/Repeats.java
@@ -15,6 +15,9 @@
     /** A further pick must still have this many times the method's usual time before the soft deadline. */
     private static final double ROOM_FOR_MORE = 1.5;
 
+    /** An agent may be held up for so long between reading its clock and writing; tenths of a millisecond. */
+    private static final long HELD_UP_MOST = 1500;
+
     public void taken() {
         fleet.further = Math.min(0, fleet.further + FURTHER_SHARE);
     }
@@ -42,7 +45,7 @@
     public boolean reaches(Rpc rpc, Pick mayRun, Appliance appliance) {
         Method method = rpc.method;
         return mayRun == null || method.effect != Method.TOKENED
-                || fleet.now < mayRun.sentAt + method.tokenWindow - 4 * fleet.tick
+                || fleet.now < mayRun.sentAt + method.tokenWindow - 4 * fleet.tick - HELD_UP_MOST
                 && (method.scope == Method.SCOPE_ALL
                 || method.scope == Method.SCOPE_ZONE && appliance.zone == mayRun.appliance.zone
                 || method.scope == Method.SCOPE_CELL && appliance.cell == mayRun.appliance.cell);
--- /dev/null
+++ b/src/test/java/honeygap/net/door/LedgerFileTest.java
@@ -0,0 +1,115 @@
+package honeygap.net.door;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import honeygap.manage.Ledger;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A ledger on a disk whose writes, syncs and truncations fail for a while. */
+class LedgerFileTest {
+
+    @TempDir
+    private Path folder;
+
+    /** What fails, in order: a write after so many bytes, then the sync, then the truncation. */
+    private static final class FailingMedium implements LedgerFile.Medium {
+
+        private final FileChannel channel;
+        private int bytesBeforeFull = Integer.MAX_VALUE;
+        private boolean syncFails;
+        private boolean truncationFails;
+
+        FailingMedium(Path file) throws IOException {
+            channel = FileChannel.open(file, StandardOpenOption.WRITE, StandardOpenOption.APPEND);
+        }
+
+        @Override
+        public void write(ByteBuffer bytes) throws IOException {
+            if (bytesBeforeFull <= 0) {
+                throw new IOException("No space left on device");
+            }
+            int most = Math.min(bytesBeforeFull, bytes.remaining());
+            channel.write(bytes.slice(bytes.position(), most));
+            bytes.position(bytes.position() + most);
+            bytesBeforeFull -= most;
+        }
+
+        @Override
+        public void force() throws IOException {
+            if (syncFails) {
+                throw new IOException("Input/output error");
+            }
+        }
+
+        @Override
+        public long size() throws IOException {
+            return channel.size();
+        }
+
+        @Override
+        public void truncate(long size) throws IOException {
+            if (truncationFails) {
+                throw new IOException("Input/output error");
+            }
+            channel.truncate(size);
+        }
+
+        @Override
+        public void close() throws IOException {
+            channel.close();
+        }
+    }
+
+    private static Ledger.Entry entry(String id, long number) {
+        return new Ledger.Entry(id, number, "drain", "done");
+    }
+
+    private List<String> restored(Path file) throws IOException {
+        Ledger ledger = new Ledger(10, 1);
+        new LedgerFile(file, ledger).close();
+        return ledger.entries().stream().map(Ledger.Entry::id).toList();
+    }
+
+    /** What was not kept is not there at the next start; what is kept after it can be read. */
+    @ParameterizedTest
+    @CsvSource({"0,false,false", "7,false,false", "7,false,true", "1000,true,false", "1000,true,true"})
+    void failedWriteLeavesNothing(int bytesBeforeFull, boolean syncFails, boolean truncationFails) throws Exception {
+        Path file = folder.resolve("ledger");
+        FailingMedium[] medium = new FailingMedium[1];
+        try (LedgerFile ledger = new LedgerFile(file, new Ledger(10, 1), path -> medium[0] = new FailingMedium(path))) {
+            ledger.keep(entry("before", 1));
+            medium[0].bytesBeforeFull = bytesBeforeFull;
+            medium[0].syncFails = syncFails;
+            medium[0].truncationFails = truncationFails;
+            assertThrows(IOException.class, () -> ledger.keep(entry("failed", 2)));
+            assertThrows(IOException.class, () -> ledger.keep(entry("failed", 2)), "the disk still fails");
+            medium[0].bytesBeforeFull = Integer.MAX_VALUE;
+            medium[0].syncFails = false;
+            medium[0].truncationFails = false;
+            ledger.keep(entry("after", 3));
+        }
+        assertEquals(List.of("before", "after"), restored(file));
+    }
+
+    /** A kill in the middle of a write: the torn line was not answered, all before it was. */
+    @Test
+    void tornLine() throws Exception {
+        Path file = folder.resolve("ledger");
+        try (LedgerFile ledger = new LedgerFile(file, new Ledger(10, 1))) {
+            ledger.keep(entry("before", 1));
+        }
+        Files.writeString(file, "{\"id\":\"torn", StandardOpenOption.APPEND);
+        assertEquals(List.of("before"), restored(file));
+    }
+}
