Probes and the desk's news stand in for a list that is not confirmed yet

Discovery answers 13 to 18 calls a second and spends its time on changes to open watches, so that some agents get no list for long, whatever they do.

rules.discovery.LeaseProbes: without a current list, and where the settings allow probes, a few appliances are probed, four at a time, until eight are known to serve; each has the lease of one that answered a pick. Where probes are not allowed, the appliances of the newest build are covered while the desk's word that it does not go back is as fresh as a list must be (drains follow from rollouts). Link and Session tell what a probe brought.

--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -3,6 +3,7 @@
 import honeygap.fleet.*;
 import honeygap.rules.builds.Exposing;
 import honeygap.rules.cold.ColdStarts;
+import honeygap.rules.discovery.LeaseProbes;
 import honeygap.rules.discovery.ListCalls;
 import honeygap.rules.discovery.ListLease;
 import honeygap.rules.evidence.*;
@@ -33,6 +34,7 @@
     private final Tries tries;
     private final ListCalls listCalls;
     private final ListLease lease;
+    private final LeaseProbes probes;
     private final Exposing exposing;
     private final Health health;
     private final Rooms rooms;
@@ -54,6 +56,7 @@
         fleet = new Fleet(now, tick, agents, methods);
         listCalls = new ListCalls(now, chance, listing);
         lease = new ListLease(fleet, listing);
+        probes = new LeaseProbes(fleet, chance, listing, lease);
         exposing = new Exposing(fleet, exposure);
         health = new Health(fleet);
         rooms = new Rooms(fleet, health, cold);
@@ -69,6 +72,7 @@
 
     public void now(long now) {
         if (now != fleet.now) {
+            fleet.before = fleet.now;
             fleet.now = now;
             todo.addAll(held);
             held.clear();
@@ -194,6 +198,11 @@
         lease.watchLost();
     }
 
+    /** A probe sent then has ended: whether the appliance has said that it serves. */
+    public void probed(Appliance appliance, long sentAt, boolean serves) {
+        probes.ended(appliance, sentAt, serves);
+    }
+
     /** Discovery is called at another address from now on. */
     public void listMoved() {
         lease.moved();
@@ -230,6 +239,11 @@
             ctl.watch();
             return true;
         }
+        Appliance probed = probes.next();
+        if (probed != null) {
+            ctl.probe(probed);
+            return true;
+        }
         if (votes.next(ctl)) {
             return true;
         }
@@ -239,7 +253,7 @@
                 return true;
             }
         }
-        long wake = Math.min(listCalls.callAt(), fleet.isOpen() ? fleet.now + Fleet.SECOND / 10 : Long.MAX_VALUE);
+        long wake = Math.min(Math.min(listCalls.callAt(), probes.wakeAt()), fleet.isOpen() ? fleet.now + Fleet.SECOND / 10 : Long.MAX_VALUE);
         wake = held.isEmpty() ? wake : Math.min(wake, fleet.now + 2 * fleet.tick);
         if (wake < wokenFor) {
             wokenFor = wake;
--- a/src/main/java/honeygap/fleet/Appliance.java
+++ b/src/main/java/honeygap/fleet/Appliance.java
@@ -29,8 +29,10 @@
     public long awayUntil = Long.MIN_VALUE / 2;
     /** Gets nothing until then, by its own word. */
     public long barredUntil = Long.MIN_VALUE / 2;
-    /** When the last pick that it answered was sent. */
+    /** When the last pick or probe that it answered was sent. */
     public long servedAt = Fleet.LONG_AGO;
+    /** When it was last asked whether it serves. */
+    public long probedAt = Fleet.LONG_AGO;
     /** Picks in a row that it has turned away while nobody told what changes in the list, and when the last one was. */
     public int refusals;
     public long refusedAt = Fleet.LONG_AGO;
--- a/src/main/java/honeygap/fleet/Fleet.java
+++ b/src/main/java/honeygap/fleet/Fleet.java
@@ -12,8 +12,9 @@
     public static final long LONG_AGO = Long.MIN_VALUE / 4;
     public static final long SECOND = 10_000;
 
-    /** The time of this turn, and the least time between two turns. */
+    /** The time of this turn and of the one before, and the least time between two turns. */
     public long now;
+    public long before;
     public final long tick;
     /** How many agents there are. */
     public final int agents;
@@ -34,6 +35,8 @@
     public int stage;
     public double cap;
     public long since;
+    /** When the desk told it, at the latest: what is told in a turn may have come at any time since the one before. */
+    public long toldAt = LONG_AGO;
     /** The build that the fits are of, all others being the earlier one. */
     public Build fitted;
     /** Earlier appliances that were up when it came. */
@@ -50,6 +53,7 @@
 
     public Fleet(long now, long tick, int agents, List<Method> methods) {
         this.now = now;
+        this.before = now;
         this.tick = Math.max(1, tick);
         this.agents = Math.max(1, agents);
         this.methods = methods;
@@ -107,6 +111,7 @@
         this.stage = stage;
         this.cap = cap;
         this.since = since;
+        toldAt = before;
     }
 
     /** True where this build is new here. */
--- a/src/main/java/honeygap/net/appliances/Session.java
+++ b/src/main/java/honeygap/net/appliances/Session.java
@@ -42,6 +42,8 @@
 
     @Override
     protected void sendProbe() {
+        answer.clear();
+        rowSeen = false;
         expected = ASKED;
         session.write(new Gathered(Words.query("SELECT 1")));
     }
@@ -93,12 +95,16 @@
                 break;
             case 'C':
                 answer.add(frames.whole());
-                if (!probing) {
+                if (probing) {
+                    probed(rowSeen);
+                } else {
                     answered();
                 }
                 break;
             case 'E':
-                if (!probing || !ready) {
+                if (probing && ready) {
+                    probed(false);
+                } else {
                     refused(Words.field(frames.body(), 'C'));
                 }
                 break;
--- a/src/main/java/honeygap/net/links/Link.java
+++ b/src/main/java/honeygap/net/links/Link.java
@@ -29,6 +29,7 @@
     protected long upTo;
     protected boolean handedOver;
     protected boolean probing;
+    private long probeSentAt;
     private ConnectFuture connecting;
     /** Whom it was opened to: the process that stood there then. */
     private InetSocketAddress address;
@@ -81,6 +82,7 @@
     /** Takes a probe on instead of a pick. */
     final void probe() {
         probing = true;
+        probeSentAt = all.loop.now();
         if (ready) {
             dueProbe();
         }
@@ -91,6 +93,12 @@
         sendProbe();
     }
 
+    /** The probe on it has ended, by the appliance's word or without one. */
+    protected final void probed(boolean serves) {
+        probing = false;
+        all.probed(remote, probeSentAt, serves);
+    }
+
     /** Takes a pick on, to be sent as soon as the connection is ready. */
     final void carry(Call call, int index, long within) {
         // One pick at a time, never on a connection that is over, nor for an RPC that has its answer.
@@ -217,7 +225,10 @@
             end(handedOver ? Pick.ERROR : Pick.CONNECT_FAILED);
             return;
         }
-        probing &= !ready;
+        if (probing && ready) {
+            // Ready again without an answer.
+            probed(false);
+        }
         ready = true;
         if (call != null && (call.closed || !isCurrent())) {
             // Guards against sending for an RPC that was answered, or left, while the connection came up; and to an
@@ -271,6 +282,9 @@
             connecting.cancel();
         }
         all.gone(this);
+        if (probing) {
+            probed(false);
+        }
         if (call != null) {
             settle(outcome);
         }
--- a/src/main/java/honeygap/rules/discovery/ListLease.java
+++ b/src/main/java/honeygap/rules/discovery/ListLease.java
@@ -8,8 +8,9 @@
 /**
  * Which appliances are still known to serve? Discovery's list is leased: it holds for a bounded time from when discovery
  * last confirmed it. A list of unknown age, such as that of an earlier process, has no lease. An appliance that has
- * answered served when it was asked, so it has a lease of its own from then on; one that turns a pick away while nobody
- * tells what changes may be draining and is left alone for a while.
+ * answered a pick or a probe served when it was asked, so it has a lease of its own from then on. Where probes are not
+ * allowed, the rollout desk's word helps: machines are drained when a newer build replaces theirs or theirs goes back, so those
+ * of the newest build are covered while that word is as fresh as a list must be. What turns a pick away while nobody tells what changes may be draining and is left alone for a while.
  */
 public final class ListLease {
 
@@ -24,6 +25,7 @@
 
     private final Fleet fleet;
     private final long duration;
+    private final boolean probes;
     private final long startedAt;
     private long confirmedAt = Fleet.LONG_AGO;
     private boolean isWatched;
@@ -31,6 +33,7 @@
     public ListLease(Fleet fleet, Listing listing) {
         this.fleet = fleet;
         duration = listing.lease();
+        probes = listing.probes();
         startedAt = fleet.now;
     }
 
@@ -72,6 +75,12 @@
         }
     }
 
+    /** An appliance has said that it serves, or has not. */
+    void probed(Appliance appliance, long sentAt, boolean serves) {
+        appliance.servedAt = serves ? Math.max(appliance.servedAt, sentAt) : Fleet.LONG_AGO;
+        appliance.refusals = serves ? 0 : appliance.refusals;
+    }
+
     /** Whether the list itself is known to be current. */
     public boolean isConfirmed() {
         return duration == 0 || fleet.now < confirmedAt + duration;
@@ -80,7 +89,12 @@
     /** Whether the appliance is known to serve, by the list or by its own answers. */
     public boolean covers(Appliance appliance) {
         return duration == 0 || !isRefusing(appliance)
-                && (isConfirmed() || fleet.now < appliance.servedAt + duration);
+                && (isConfirmed() || fleet.now < appliance.servedAt + duration || isOfNewestBuild(appliance));
+    }
+
+    /** Whether the desk has said lately that this appliance's build is the newest and does not go back. */
+    private boolean isOfNewestBuild(Appliance appliance) {
+        return !probes && fleet.isOpen() && appliance.build == fleet.newest && fleet.now < fleet.toldAt + duration;
     }
 
     private boolean isRefusing(Appliance appliance) {
@@ -91,9 +105,10 @@
         return fleet.now < appliance.refusedAt + (long) (wait * duration);
     }
 
-    /** Whether clients may come: with a list that is current, or when waiting for one has taken long enough. */
+    /** Whether clients may come: enough appliances are known to serve, or waiting for a list has taken long enough. */
     public boolean mayOpen() {
-        return isConfirmed() || fleet.now >= startedAt + (long) (START_WAIT * duration);
+        long serving = fleet.appliances.stream().filter(one -> one.state == Appliance.UP).count();
+        return isConfirmed() || covered() >= Math.min(LeaseProbes.ENOUGH, serving / 2 + 1) || fleet.now >= startedAt + (long) (START_WAIT * duration);
     }
 
     /** How many of the appliances that serve by the list are known to do so now. */
--- a/src/test/java/honeygap/rules/discovery/ListLeaseRulesTest.java
+++ b/src/test/java/honeygap/rules/discovery/ListLeaseRulesTest.java
@@ -24,7 +24,7 @@
 
     private final Method method = new Method(0, Method.IDEMPOTENT, 0, 0, SECOND, 3 * SECOND, 1, 0);
     private final Fleet fleet = new Fleet(0, 10, 100, List.of(method));
-    private final ListLease lease = new ListLease(fleet, new Listing(true, false, 10 * SECOND, LEASE));
+    private final ListLease lease = new ListLease(fleet, new Listing(true, false, 10 * SECOND, false, LEASE));
     private final Build build = new Build(1, 1);
     private final Appliance one = listed(1);
     private final Appliance other = listed(2);
@@ -113,6 +113,36 @@
         assertTrue(lease.covers(one), "the list says that it serves");
     }
 
+    /** Drains follow from rollouts: the newest build's appliances serve on while the desk says so. */
+    @Test
+    void freshNewsCoversTheNewestBuild() {
+        Build newer = new Build(2, 1);
+        Appliance third = new Appliance(3);
+        fleet.listBegins(false, false);
+        fleet.listed(third, newer, new Location(), 0, Appliance.UP, Fleet.LONG_AGO);
+        fleet.listEnds();
+        fleet.told(build, Build.RELEASED, 0, 1, 0);
+        assertTrue(at(5.9).lease.covers(one));
+        assertTrue(lease.mayOpen(), "two of three are known to serve");
+        assertFalse(lease.covers(third), "not announced yet");
+        assertFalse(at(6).lease.covers(one), "the news is as old as a list may be");
+        fleet.before = fleet.now;
+        fleet.told(newer, Build.ON_TRIAL, 0, 0.1, 0);
+        assertFalse(lease.covers(one), "it will be replaced");
+        assertTrue(lease.covers(third));
+        fleet.told(newer, Build.REVERTING, 0, 0, 0);
+        assertFalse(lease.covers(third), "it goes back");
+    }
+
+    /** What is told in a turn may have waited since the turn before, as after a standstill. */
+    @Test
+    void newsCountsAsOfTheTurnBefore() {
+        at(10);
+        fleet.before = 2 * SECOND;
+        fleet.told(build, Build.RELEASED, 0, 1, 0);
+        assertFalse(lease.covers(one));
+    }
+
     @Test
     void endsSoonerWhereDiscoveryMoves() {
         lease.confirmed(SECOND);
@@ -128,14 +158,14 @@
         assertTrue(at(4).lease.mayOpen());
         lease.confirmed(fleet.now);
         assertTrue(lease.mayOpen());
-        ListLease soon = new ListLease(fleet, new Listing(true, false, 10 * SECOND, LEASE));
+        ListLease soon = new ListLease(fleet, new Listing(true, false, 10 * SECOND, false, LEASE));
         soon.confirmed(fleet.now);
         assertTrue(soon.mayOpen());
     }
 
     @Test
     void withoutALeaseEverythingIsCovered() {
-        ListLease none = new ListLease(fleet, new Listing(true, false, 10 * SECOND, 0));
+        ListLease none = new ListLease(fleet, new Listing(true, false, 10 * SECOND, false, 0));
         assertTrue(at(1000).lease.mayOpen() && none.covers(one) && none.isConfirmed());
         answered(one, 1, 1, Pick.FULL);
         assertTrue(none.covers(one));
