Evidence beyond the list must be of the listed process; soak runs over real processes

So a probe proves nothing of the list; probes are taken out again. An answer renews its appliance's lease only on a connection from before the list was last confirmed, whose other end is the process that was listed. The desk's word covers the newest build's appliances while none of them fell silent.

--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -3,7 +3,6 @@
 import honeygap.fleet.*;
 import honeygap.rules.builds.Exposing;
 import honeygap.rules.cold.ColdStarts;
-import honeygap.rules.discovery.LeaseProbes;
 import honeygap.rules.discovery.ListCalls;
 import honeygap.rules.discovery.ListLease;
 import honeygap.rules.evidence.*;
@@ -34,7 +33,6 @@
     private final Tries tries;
     private final ListCalls listCalls;
     private final ListLease lease;
-    private final LeaseProbes probes;
     private final Exposing exposing;
     private final Health health;
     private final Rooms rooms;
@@ -56,7 +54,6 @@
         fleet = new Fleet(now, tick, agents, methods);
         listCalls = new ListCalls(now, chance, listing);
         lease = new ListLease(fleet, listing);
-        probes = new LeaseProbes(fleet, chance, listing, lease);
         exposing = new Exposing(fleet, exposure);
         health = new Health(fleet);
         rooms = new Rooms(fleet, health, cold);
@@ -198,11 +195,6 @@
         lease.watchLost();
     }
 
-    /** A probe sent then has ended: whether the appliance has said that it serves. */
-    public void probed(Appliance appliance, long sentAt, boolean serves) {
-        probes.ended(appliance, sentAt, serves);
-    }
-
     /** Discovery is called at another address from now on. */
     public void listMoved() {
         lease.moved();
@@ -239,11 +231,6 @@
             ctl.watch();
             return true;
         }
-        Appliance probed = probes.next();
-        if (probed != null) {
-            ctl.probe(probed);
-            return true;
-        }
         if (votes.next(ctl)) {
             return true;
         }
@@ -253,7 +240,7 @@
                 return true;
             }
         }
-        long wake = Math.min(Math.min(listCalls.callAt(), probes.wakeAt()), fleet.isOpen() ? fleet.now + Fleet.SECOND / 10 : Long.MAX_VALUE);
+        long wake = Math.min(listCalls.callAt(), fleet.isOpen() ? fleet.now + Fleet.SECOND / 10 : Long.MAX_VALUE);
         wake = held.isEmpty() ? wake : Math.min(wake, fleet.now + 2 * fleet.tick);
         if (wake < wokenFor) {
             wokenFor = wake;
--- a/src/main/java/honeygap/fleet/Appliance.java
+++ b/src/main/java/honeygap/fleet/Appliance.java
@@ -29,10 +29,10 @@
     public long awayUntil = Long.MIN_VALUE / 2;
     /** Gets nothing until then, by its own word. */
     public long barredUntil = Long.MIN_VALUE / 2;
-    /** When the last pick or probe that it answered was sent. */
+    /** When the last pick was sent that it answered on a connection from before the list grew old. */
     public long servedAt = Fleet.LONG_AGO;
-    /** When it was last asked whether it serves. */
-    public long probedAt = Fleet.LONG_AGO;
+    /** When a pick at it last ended without a word from it. */
+    public long doubtedAt = Fleet.LONG_AGO;
     /** Picks in a row that it has turned away while nobody told what changes in the list, and when the last one was. */
     public int refusals;
     public long refusedAt = Fleet.LONG_AGO;
--- a/src/main/java/honeygap/fleet/Pick.java
+++ b/src/main/java/honeygap/fleet/Pick.java
@@ -20,6 +20,8 @@
     public final Location zone;
     public final long sentAt;
     public final boolean cold;
+    /** When the connection was opened that it went out on, at the latest. */
+    public long connectedAt;
     public int outcome = OUT;
 
     public Pick(Rpc rpc, Appliance appliance, long sentAt, boolean cold) {
@@ -28,6 +30,7 @@
         this.build = appliance.build;
         this.zone = appliance.zone;
         this.sentAt = sentAt;
+        this.connectedAt = sentAt;
         this.cold = cold;
         rpc.picks.add(this);
         count(1);
--- /dev/null
+++ b/src/main/java/honeygap/lab/soak/SoakMethod.java
@@ -0,0 +1,29 @@
+package honeygap.lab.soak;
+
+/** The methods that clients of a soak run call, one for each kind of effect. */
+enum SoakMethod {
+
+    READ("read", "read_like"),
+    BOOK("book", "idempotency_key"),
+    ASSIGN("assign", "non_idempotent");
+
+    /** For so long an appliance knows a key that it has answered. */
+    static final long TOKEN_WINDOW_MS = 5000;
+
+    final String word;
+    final String effect;
+
+    SoakMethod(String word, String effect) {
+        this.word = word;
+        this.effect = effect;
+    }
+
+    static SoakMethod of(String word) {
+        for (SoakMethod method : values()) {
+            if (method.word.equals(word)) {
+                return method;
+            }
+        }
+        throw new IllegalArgumentException("no method " + word);
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/lab/soak/StandInAppliance.java
@@ -0,0 +1,205 @@
+package honeygap.lab.soak;
+
+import honeygap.capture.make.Morning;
+import honeygap.net.pg.Frames;
+import honeygap.net.pg.Statement;
+import honeygap.net.pg.Words;
+import honeygap.read.Malformed;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.EnumSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** An appliance that records what comes to it, and does what the run's faults want. */
+final class StandInAppliance implements AutoCloseable {
+
+    private static final long WORK_MS = 10;
+    private static final long REPEAT_AFTER_MS = 5;
+    private static final int BACKLOG = 512;
+    /** What an appliance that drains says to a probe. */
+    private static final String NOT_NOW = "57P03";
+
+    final int number;
+    final int zone;
+    private final SoakRecord record;
+    private final InetSocketAddress address;
+    private final Set<FaultKind> faults = EnumSet.noneOf(FaultKind.class);
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    /** Times at which keys were answered, by key: repeats of them have no effect within the window. */
+    private final Map<String, Long> answeredKeys = new ConcurrentHashMap<>();
+    private ServerSocket server;
+    private volatile int life;
+    private volatile boolean isDraining;
+    volatile int build;
+    /** The wall-clock time of its start in milliseconds, 0 for long ago. */
+    volatile long sinceMs;
+
+    StandInAppliance(int number, int zone, int build, SoakRecord record) throws IOException {
+        this.number = number;
+        this.zone = zone;
+        this.build = build;
+        this.record = record;
+        server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+        address = (InetSocketAddress) server.getLocalSocketAddress();
+        accept(server, life);
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    private void accept(ServerSocket from, int ofLife) {
+        StandInThread.start("appliance " + number, () -> {
+            while (true) {
+                Socket socket = from.accept();
+                socket.setTcpNoDelay(true);
+                open.add(socket);
+                StandInThread.start("appliance " + number, () -> {
+                    try (socket) {
+                        serve(socket, ofLife);
+                    } catch (Malformed e) {
+                        throw new IOException(e);
+                    } finally {
+                        open.remove(socket);
+                    }
+                });
+            }
+        });
+    }
+
+    synchronized void fault(FaultKind kind, boolean isOn) {
+        if (isOn) {
+            faults.add(kind);
+        } else {
+            faults.remove(kind);
+        }
+    }
+
+    private synchronized boolean has(FaultKind kind) {
+        return faults.contains(kind);
+    }
+
+    void drain() {
+        isDraining = true;
+    }
+
+    /** Ends the process; nothing listens at its address. */
+    void stop() throws IOException {
+        server.close();
+        closeConnections();
+    }
+
+    void closeConnections() throws IOException {
+        for (Socket socket : Set.copyOf(open)) {
+            socket.close();
+        }
+    }
+
+    /** Another process at the same address. */
+    void startAgain(int withBuild, long wallMs) throws IOException {
+        build = withBuild;
+        sinceMs = wallMs;
+        isDraining = false;
+        answeredKeys.clear();
+        life++;
+        server = new ServerSocket();
+        server.setReuseAddress(true);
+        server.bind(address, BACKLOG);
+        accept(server, life);
+    }
+
+    private void serve(Socket socket, int ofLife) throws IOException, Malformed, InterruptedException {
+        InputStream in = socket.getInputStream();
+        Frames frames = new Frames(1 << 18);
+        byte[] buffer = new byte[1 << 14];
+        boolean isStarted = false;
+        long firstByteAt = record.now();
+        for (int many = in.read(buffer); many > 0; many = in.read(buffer)) {
+            long readAt = record.now();
+            firstByteAt = frames.waiting() == 0 ? readAt : firstByteAt;
+            frames.feed(ByteBuffer.wrap(buffer.clone(), 0, many));
+            while (isStarted ? frames.next() : frames.nextUntyped(10_000)) {
+                if (!isStarted) {
+                    isStarted = true;
+                    write(socket, Words.welcome());
+                } else if (frames.type() == 'Q' && !request(socket, frames.body(), ofLife, firstByteAt)) {
+                    return;
+                }
+            }
+        }
+    }
+
+    /** One request; false where the connection is over. */
+    private boolean request(Socket socket, ByteBuffer body, int ofLife, long firstByteAt)
+            throws IOException, InterruptedException {
+        Statement statement = new Statement();
+        if (!statement.read(body)) {
+            write(socket, isDraining ? Words.error(NOT_NOW, "draining", 0) : Morning.row("1"));
+            return true;
+        }
+        boolean refuses = isDraining || has(FaultKind.APPLIANCE_REFUSES);
+        SoakMethod method = SoakMethod.of(statement.method());
+        boolean isKnown = method == SoakMethod.BOOK && isAnswered(statement.key());
+        record.arrivals.add(new SoakRecord.Arrival(statement.id(), number, ofLife, build, zone, firstByteAt,
+                record.now(), statement.timeMs(), !refuses && !isKnown));
+        if (refuses) {
+            write(socket, Words.error(Words.TOO_MANY, "no place", 0));
+            return true;
+        }
+        if (has(FaultKind.APPLIANCE_RESETS)) {
+            socket.setSoLinger(true, 0);
+            return false;
+        }
+        if (has(FaultKind.APPLIANCE_HANGS)) {
+            socket.getInputStream().read();
+            return false;
+        }
+        Thread.sleep(WORK_MS);
+        answeredKeys.put(statement.key(), record.now());
+        answer(socket, Morning.row(statement.id()));
+        return true;
+    }
+
+    private boolean isAnswered(String key) {
+        Long at = answeredKeys.get(key);
+        return at != null && record.now() < at + SoakMethod.TOKEN_WINDOW_MS;
+    }
+
+    private void answer(Socket socket, ByteBuffer row) throws IOException, InterruptedException {
+        if (has(FaultKind.APPLIANCE_DRIBBLES)) {
+            byte[] bytes = bytes(row);
+            for (int i = 0; i < bytes.length; i += 16) {
+                socket.getOutputStream().write(bytes, i, Math.min(16, bytes.length - i));
+                Thread.sleep(1);
+            }
+            return;
+        }
+        write(socket, row);
+        if (has(FaultKind.APPLIANCE_REPEATS)) {
+            Thread.sleep(REPEAT_AFTER_MS);
+            write(socket, row);
+        }
+    }
+
+    private static byte[] bytes(ByteBuffer from) {
+        byte[] bytes = new byte[from.remaining()];
+        from.duplicate().get(bytes);
+        return bytes;
+    }
+
+    private static void write(Socket socket, ByteBuffer from) throws IOException {
+        socket.getOutputStream().write(bytes(from));
+    }
+
+    @Override
+    public void close() throws IOException {
+        stop();
+    }
+}
--- /dev/null
+++ b/src/main/java/honeygap/lab/soak/StandInDesk.java
@@ -0,0 +1,95 @@
+package honeygap.lab.soak;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/** A rollout desk on which one build stays on trial: each vote counts and nothing moves on. */
+final class StandInDesk implements AutoCloseable {
+
+    static final int EARLIER_BUILD = 1;
+    static final int TRIAL_BUILD = 2;
+    static final double CAP = 0.2;
+    private static final long SIGN_OF_LIFE_MS = 1000;
+    private static final int NEWS_EVERY = 2;
+    private static final String STREAM = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            + "Transfer-Encoding: chunked\r\n\r\n";
+    private static final String NEWS = "event: progress\ndata: Revision=" + TRIAL_BUILD
+            + "&Wave=0&State=Progressing&MaxShare=" + CAP + "&AgeMs=100000\n\n";
+    private static final String ITEM = "<?xml version=\"1.0\"?>\n<Response><entries><item><Revision>" + TRIAL_BUILD
+            + "</Revision><Wave>0</Wave><State>Progressing</State><MaxShare>" + CAP
+            + "</MaxShare><AgeMs>100000</AgeMs></item></entries></Response>";
+
+    private final ServerSocket server = new ServerSocket(0, 256, InetAddress.getLoopbackAddress());
+    private volatile boolean isDown;
+
+    StandInDesk() throws IOException {
+        StandInThread.start("desk", () -> {
+            while (true) {
+                Socket socket = server.accept();
+                StandInThread.start("desk", () -> serve(socket));
+            }
+        });
+    }
+
+    int port() {
+        return server.getLocalPort();
+    }
+
+    void down(boolean down) {
+        isDown = down;
+    }
+
+    private void serve(Socket socket) throws IOException, InterruptedException {
+        try (socket) {
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            OutputStream out = socket.getOutputStream();
+            while (true) {
+                String head = head(in);
+                while (isDown) {
+                    Thread.sleep(SIGN_OF_LIFE_MS / 10);
+                }
+                if (head.startsWith("GET /bulletin")) {
+                    stream(out);
+                }
+                write(out, "HTTP/1.1 200 OK\r\nContent-Type: text/xml\r\nContent-Length: " + ITEM.length() + "\r\n\r\n"
+                        + ITEM);
+            }
+        }
+    }
+
+    private void stream(OutputStream out) throws IOException, InterruptedException {
+        write(out, STREAM);
+        for (long i = 0; ; i++) {
+            if (!isDown) {
+                String words = i % NEWS_EVERY == 0 ? NEWS : ":\n\n";
+                write(out, Integer.toHexString(words.length()) + "\r\n" + words + "\r\n");
+            }
+            Thread.sleep(SIGN_OF_LIFE_MS);
+        }
+    }
+
+    private static void write(OutputStream out, String words) throws IOException {
+        out.write(words.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** A head and its body, which is a form. */
+    private static String head(DataInputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            head.append((char) in.readUnsignedByte());
+        }
+        String length = head.toString().replaceAll("(?is).*content-length: *(\\d+).*", "$1");
+        in.readNBytes(length.length() < head.length() ? Integer.parseInt(length) : 0);
+        return head.toString();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+}
--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -19,6 +19,8 @@
     private static final long LEAVING_AFTER = 7_000;
     private static final long ENDING_AFTER = 14_000;
     private static final long LOOK_EVERY = 100;
+    private static final int LISTEN_TRIES = 20;
+    private static final long LISTEN_PAUSE_MS = 50;
 
     private final Loop loop;
     private final List<Protocol> protocols;
@@ -60,13 +62,37 @@
                 return;
             }
             for (Protocol protocol : protocols) {
-                bound.add(protocol.listen());
+                bound.add(listen(protocol));
             }
             isOpen = true;
         }
         Logger.info("ready after {} ms", loop.sinceStart());
     }
 
+    /** A socket may be had a moment later, and an address may still be held by the process before. */
+    private InetSocketAddress listen(Protocol protocol) throws IOException {
+        for (int i = 1; ; i++) {
+            try {
+                return protocol.listen();
+            } catch (IOException e) {
+                if (i == LISTEN_TRIES) {
+                    throw e;
+                }
+                Logger.warn("can't listen yet, tried again: {}", e.getMessage());
+                pause(LISTEN_PAUSE_MS);
+            }
+        }
+    }
+
+    private static void pause(long ms) throws IOException {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted before the start", e);
+        }
+    }
+
     private void openWhenReady() {
         if (protocols.stream().allMatch(Protocol::mayOpen)) {
             opens.countDown();
--- a/src/main/java/honeygap/net/Loop.java
+++ b/src/main/java/honeygap/net/Loop.java
@@ -96,6 +96,7 @@
     private long now;
     private List<Core> cores = List.of();
     private volatile Thread thread;
+    private volatile boolean isClosing;
     private volatile boolean over;
     private long startedNanos = zero;
     private long firstRpcAfter;
@@ -222,8 +223,13 @@
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(backlog);
         configure(acceptor.getSessionConfig());
+        try {
+            acceptor.bind(address);
+        } catch (IOException e) {
+            acceptor.dispose();
+            throw e;
+        }
         acceptors.add(acceptor);
-        acceptor.bind(address);
         return acceptor.getLocalAddress();
     }
 
@@ -343,11 +349,12 @@
 
     /** Closes everything; from another thread only. */
     public void end() {
-        // First: a turn that comes while it closes must not dial any more.
-        over = true;
+        // First: a turn that comes while it closes must not dial any more. The thread itself goes on until all is closed.
+        isClosing = true;
         acceptors.forEach(Acceptor::dispose);
         connector.dispose();
         pool.dispose();
+        over = true;
     }
 
     @Override
@@ -369,7 +376,7 @@
     /** One turn: tells all that was gathered, pulls the decisions dry; none any more once it is over. */
     void turn() {
         now = clock();
-        if (over) {
+        if (isClosing) {
             return;
         }
         for (Core core : cores) {
--- a/src/main/java/honeygap/net/appliances/Session.java
+++ b/src/main/java/honeygap/net/appliances/Session.java
@@ -42,8 +42,6 @@
 
     @Override
     protected void sendProbe() {
-        answer.clear();
-        rowSeen = false;
         expected = ASKED;
         session.write(new Gathered(Words.query("SELECT 1")));
     }
@@ -95,16 +93,12 @@
                 break;
             case 'C':
                 answer.add(frames.whole());
-                if (probing) {
-                    probed(rowSeen);
-                } else {
+                if (!probing) {
                     answered();
                 }
                 break;
             case 'E':
-                if (probing && ready) {
-                    probed(false);
-                } else {
+                if (!probing || !ready) {
                     refused(Words.field(frames.body(), 'C'));
                 }
                 break;
--- a/src/main/java/honeygap/net/links/Link.java
+++ b/src/main/java/honeygap/net/links/Link.java
@@ -17,6 +17,9 @@
  */
 public abstract class Link implements Peer {
 
+    /** A second answer may come some milliseconds after the first: so long nothing is sent behind an answer, in tenths of one. */
+    private static final long LATE_COPY = 200;
+
     protected final Links all;
     protected final Remote remote;
     protected IoSession session;
@@ -29,11 +32,11 @@
     protected long upTo;
     protected boolean handedOver;
     protected boolean probing;
-    private long probeSentAt;
     private ConnectFuture connecting;
     /** Whom it was opened to: the process that stood there then. */
     private InetSocketAddress address;
     private long startedAt;
+    private long connectedAt;
     private Loop.Timer timer;
     private long restsSince;
 
@@ -70,6 +73,7 @@
             due(all.loop.now() + within, this::late);
             address = remote.address;
             startedAt = remote.startedAt;
+            connectedAt = all.loop.now();
             connecting = all.loop.connect(address, this);
         }
     }
@@ -82,7 +86,6 @@
     /** Takes a probe on instead of a pick. */
     final void probe() {
         probing = true;
-        probeSentAt = all.loop.now();
         if (ready) {
             dueProbe();
         }
@@ -93,12 +96,6 @@
         sendProbe();
     }
 
-    /** The probe on it has ended, by the appliance's word or without one. */
-    protected final void probed(boolean serves) {
-        probing = false;
-        all.probed(remote, probeSentAt, serves);
-    }
-
     /** Takes a pick on, to be sent as soon as the connection is ready. */
     final void carry(Call call, int index, long within) {
         // One pick at a time, never on a connection that is over, nor for an RPC that has its answer.
@@ -215,7 +212,7 @@
     }
 
     private long restsUpTo() {
-        return restsSince + 2 * all.tick;
+        return restsSince + Math.max(2 * all.tick, LATE_COPY);
     }
 
     /** Ready for a pick: the first, or the next. */
@@ -225,10 +222,7 @@
             end(handedOver ? Pick.ERROR : Pick.CONNECT_FAILED);
             return;
         }
-        if (probing && ready) {
-            // Ready again without an answer.
-            probed(false);
-        }
+        probing &= !ready;
         ready = true;
         if (call != null && (call.closed || !isCurrent())) {
             // Guards against sending for an RPC that was answered, or left, while the connection came up; and to an
@@ -257,6 +251,7 @@
         Call done = call;
         call = null;
         handedOver = false;
+        done.picks.get(index).connectedAt = connectedAt;
         all.ended(done, index, outcome);
         return done;
     }
@@ -282,9 +277,6 @@
             connecting.cancel();
         }
         all.gone(this);
-        if (probing) {
-            probed(false);
-        }
         if (call != null) {
             settle(outcome);
         }
--- a/src/main/java/honeygap/net/links/Links.java
+++ b/src/main/java/honeygap/net/links/Links.java
@@ -34,8 +34,6 @@
     private final OncePerSecond unreadableLog;
     private long unquiet;
     private long opened;
-    private long probes;
-    private long probesServing;
 
     /**
      * Times are tenths of a millisecond: the agent's own step, how long connecting may take, for how long the
@@ -76,22 +74,14 @@
         link.connect(Math.min(within, connectWithin));
     }
 
-    /** Asks whether the appliance serves. */
+    /** Asks whether the appliance is ready; the module has no use for the answer but what it keeps open. */
     @Override
     public void probe(Appliance appliance) {
         Link link = take((Remote) appliance);
-        if (link == null) {
-            probed((Remote) appliance, loop.now(), false);
-            return;
+        if (link != null) {
+            link.probe();
+            link.connect(connectWithin);
         }
-        link.probe();
-        link.connect(connectWithin);
-    }
-
-    void probed(Remote remote, long sentAt, boolean serves) {
-        probes++;
-        probesServing += serves ? 1 : 0;
-        loop.gather(() -> rules.probed(remote, sentAt, serves));
     }
 
     private Link take(Remote remote) {
@@ -193,7 +183,5 @@
         counters.count("moot", outcomes[Pick.MOOT]);
         counters.count("unreadable", unreadable);
         counters.count("unquiet", unquiet);
-        counters.count("probes", probes);
-        counters.count("probes that serve", probesServing);
     }
 }
--- a/src/main/java/honeygap/read/Deployment.java
+++ b/src/main/java/honeygap/read/Deployment.java
@@ -32,7 +32,7 @@
 
     /** Where lists are pushed, the simulator's wire brings them by itself. */
     public static Listing onWire(Fields info) throws Malformed {
-        return new Listing(isAsked(info), !isAsked(info), mustAskIn(info), false, 0);
+        return new Listing(isAsked(info), !isAsked(info), mustAskIn(info), 0);
     }
 
     private static boolean isAsked(Fields info) throws Malformed {
@@ -48,8 +48,7 @@
         long within = mustAskIn(info) > 0 ? mustAskIn(info) : TOLD_WITHIN;
         // Without a rule on drains there is nothing that an old list could break.
         boolean hasDrainRule = info.part("Rules").has("StopSendingWithinNs");
-        boolean probes = hasDrainRule && info.part("Ceilings").flag("Probing", false);
-        return new Listing(true, !isAsked(info), within, probes, hasDrainRule ? Math.min(within, TOLD_WITHIN) : 0);
+        return new Listing(true, !isAsked(info), within, hasDrainRule ? Math.min(within, TOLD_WITHIN) : 0);
     }
 
     private static long mustAskIn(Fields info) throws Malformed {
--- a/src/main/java/honeygap/read/FlagSheet.java
+++ b/src/main/java/honeygap/read/FlagSheet.java
@@ -162,6 +162,6 @@
     /** The decision module for flags. */
     public Rules rules(long now, long seed) {
         return new Rules(now, seed, agents, step, methods, new Tries(tries, true, retryAfterMost),
-                new Listing(list != null, true, askWithin, false, 0), cold, voting, exposure);
+                new Listing(list != null, true, askWithin, 0), cold, voting, exposure);
     }
 }
--- a/src/main/java/honeygap/rules/discovery/ListLease.java
+++ b/src/main/java/honeygap/rules/discovery/ListLease.java
@@ -7,10 +7,12 @@
 
 /**
  * Which appliances are still known to serve? Discovery's list is leased: it holds for a bounded time from when discovery
- * last confirmed it. A list of unknown age, such as that of an earlier process, has no lease. An appliance that has
- * answered a pick or a probe served when it was asked, so it has a lease of its own from then on. Where probes are not
- * allowed, the rollout desk's word helps: machines are drained when a newer build replaces theirs or theirs goes back, so those
- * of the newest build are covered while that word is as fresh as a list must be. What turns a pick away while nobody tells what changes may be draining and is left alone for a while.
+ * last confirmed it. A list of unknown age, such as that of an earlier process, has no lease. Beyond it there are two kinds of
+ * evidence. An appliance that has answered on a connection from before the list grew old is the process that was listed, and
+ * served when it was asked: it has a lease of its own from then on. On a newer connection another process may answer, which
+ * drained and came back unlisted. And machines are drained when a newer build replaces theirs or theirs goes back, which the
+ * rollout desk tells: those of the newest build are covered while that word is as fresh as a list must be. What turns a pick
+ * away while nobody tells what changes may be draining and is left alone for a while.
  */
 public final class ListLease {
 
@@ -25,7 +27,6 @@
 
     private final Fleet fleet;
     private final long duration;
-    private final boolean probes;
     private final long startedAt;
     private long confirmedAt = Fleet.LONG_AGO;
     private boolean isWatched;
@@ -33,7 +34,6 @@
     public ListLease(Fleet fleet, Listing listing) {
         this.fleet = fleet;
         duration = listing.lease();
-        probes = listing.probes();
         startedAt = fleet.now;
     }
 
@@ -62,25 +62,23 @@
         confirmedAt = Math.min(confirmedAt, fleet.now - (long) ((1 - LEFT_AFTER_MOVE) * duration));
     }
 
-    /** A pick has ended: an answer shows that its appliance served when it was sent, a refusal that it may drain. */
+    /** A pick has ended: an answer may show that its appliance served when it was sent, a refusal that it may drain. */
     public void ended(Pick pick, int outcome) {
         Appliance appliance = pick.appliance;
         if (outcome == Pick.OK) {
             appliance.refusals = 0;
-            appliance.servedAt = Math.max(appliance.servedAt, pick.sentAt);
+            if (pick.connectedAt <= confirmedAt) {
+                appliance.servedAt = Math.max(appliance.servedAt, pick.sentAt);
+            }
         } else if (outcome == Pick.FULL && !isWatched) {
             appliance.refusals++;
             appliance.refusedAt = fleet.now;
             appliance.servedAt = Fleet.LONG_AGO;
+        } else if (outcome == Pick.CONNECT_FAILED || outcome == Pick.RESET || outcome == Pick.TIMEOUT) {
+            appliance.doubtedAt = fleet.now;
         }
     }
 
-    /** An appliance has said that it serves, or has not. */
-    void probed(Appliance appliance, long sentAt, boolean serves) {
-        appliance.servedAt = serves ? Math.max(appliance.servedAt, sentAt) : Fleet.LONG_AGO;
-        appliance.refusals = serves ? 0 : appliance.refusals;
-    }
-
     /** Whether the list itself is known to be current. */
     public boolean isConfirmed() {
         return duration == 0 || fleet.now < confirmedAt + duration;
@@ -92,9 +90,9 @@
                 && (isConfirmed() || fleet.now < appliance.servedAt + duration || isOfNewestBuild(appliance));
     }
 
-    /** Whether the desk has said lately that this appliance's build is the newest and does not go back. */
+    /** Whether the desk has said lately that this appliance's build is the newest and stays; one that fell silent may have left. */
     private boolean isOfNewestBuild(Appliance appliance) {
-        return !probes && fleet.isOpen() && appliance.build == fleet.newest && fleet.now < fleet.toldAt + duration;
+        return appliance.doubtedAt <= confirmedAt && fleet.isOpen() && appliance.build == fleet.newest && fleet.now < fleet.toldAt + duration;
     }
 
     private boolean isRefusing(Appliance appliance) {
@@ -105,10 +103,10 @@
         return fleet.now < appliance.refusedAt + (long) (wait * duration);
     }
 
-    /** Whether clients may come: enough appliances are known to serve, or waiting for a list has taken long enough. */
+    /** Whether clients may come: most appliances are known to serve, or waiting for a list has taken long enough. */
     public boolean mayOpen() {
         long serving = fleet.appliances.stream().filter(one -> one.state == Appliance.UP).count();
-        return isConfirmed() || covered() >= Math.min(LeaseProbes.ENOUGH, serving / 2 + 1) || fleet.now >= startedAt + (long) (START_WAIT * duration);
+        return isConfirmed() || 2 * covered() > serving || fleet.now >= startedAt + (long) (START_WAIT * duration);
     }
 
     /** How many of the appliances that serve by the list are known to do so now. */
