--- a/src/main/java/honeygap/lab/soak/StandInAppliance.java
+++ b/src/main/java/honeygap/lab/soak/StandInAppliance.java
@@ -22,6 +22,7 @@
 
     private static final long WORK_MS = 10;
     private static final long REPEAT_AFTER_MS = 5;
+    private static final long REPEAT_LATEST_MS = 10;
     private static final int BACKLOG = 512;
     /** What an appliance that drains says to a probe. */
     private static final String NOT_NOW = "57P03";
@@ -183,8 +184,12 @@
         }
         write(socket, row);
         if (has(FaultKind.APPLIANCE_REPEATS)) {
+            long wroteAt = record.now();
             Thread.sleep(REPEAT_AFTER_MS);
-            write(socket, row);
+            // Some milliseconds late and no more, also where this thread was woken late.
+            if (record.now() <= wroteAt + REPEAT_LATEST_MS) {
+                write(socket, row);
+            }
         }
     }
 
--- a/src/main/java/honeygap/net/links/Link.java
+++ b/src/main/java/honeygap/net/links/Link.java
@@ -236,7 +236,8 @@
         } else {
             due(all.loop.now() + all.idleFor, () -> end(Pick.CANCELLED));
             rested();
-            restsSince = all.loop.now();
+            // By the clock: a turn may have begun long before what was read in it.
+            restsSince = all.loop.clock();
             all.rest(this);
         }
     }
--- /dev/null
+++ b/src/test/java/honeygap/lab/soak/SoakCheckerTest.java
@@ -0,0 +1,184 @@
+package honeygap.lab.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What the checker finds in a record, and what it lets pass. Times are milliseconds. */
+class SoakCheckerTest {
+
+    private static final int AGENT = 1;
+
+    private SoakRecord record;
+
+    @BeforeEach
+    void start() {
+        record = new SoakRecord();
+    }
+
+    private void sent(String id, SoakMethod method, long at) {
+        record.sent.put(id, new SoakRecord.Sent(id, AGENT, method, at, 1000));
+    }
+
+    private void served(String id, long at) {
+        record.ended.add(new SoakRecord.Ended(id, SoakRecord.Ending.SERVED, at, id));
+    }
+
+    private void arrives(String id, int appliance, int zone, long at, boolean ran) {
+        record.arrivals.add(new SoakRecord.Arrival(id, appliance, 0, StandInDesk.EARLIER_BUILD, zone, at, at, 100, ran));
+    }
+
+    private List<String> broken() {
+        return SoakChecker.check(record).stream().map(Breach::rule).distinct().toList();
+    }
+
+    @Test
+    void plainRequest() {
+        sent("a", SoakMethod.ASSIGN, 1000);
+        arrives("a", 3, 0, 1010, true);
+        served("a", 1020);
+        assertEquals(List.of(), broken());
+    }
+
+    @Test
+    void noAnswerLateAnswerAndTwoAnswers() {
+        sent("never", SoakMethod.READ, 1000);
+        sent("late", SoakMethod.READ, 1000);
+        served("late", 2700);
+        sent("twice", SoakMethod.READ, 1000);
+        served("twice", 1100);
+        served("twice", 1200);
+        assertEquals(3, SoakChecker.check(record).size());
+    }
+
+    /** A process that was killed owes nothing, one that ended by itself does. */
+    @Test
+    void deathOfTheProcess() {
+        sent("a", SoakMethod.READ, 1000);
+        record.lives.add(new SoakRecord.Life(AGENT, 0, 1100, true));
+        assertEquals(List.of(), broken());
+        start();
+        sent("a", SoakMethod.READ, 1000);
+        record.lives.add(new SoakRecord.Life(AGENT, 0, 1100, false));
+        assertEquals(List.of("lost"), broken());
+    }
+
+    @Test
+    void valueOfAnotherRequest() {
+        sent("a", SoakMethod.READ, 1000);
+        record.ended.add(new SoakRecord.Ended("a", SoakRecord.Ending.SERVED, 1010, "b"));
+        assertEquals(List.of("value"), broken());
+    }
+
+    @Test
+    void effectTwice() {
+        sent("a", SoakMethod.ASSIGN, 1000);
+        arrives("a", 1, 0, 1010, false);
+        arrives("a", 2, 0, 1020, true);
+        served("a", 1030);
+        assertEquals(List.of(), broken(), "the first one was turned away");
+        arrives("a", 3, 0, 1040, true);
+        assertEquals(List.of("duplicate"), broken());
+    }
+
+    @Test
+    void tokenOutsideItsGroup() {
+        sent("a", SoakMethod.BOOK, 1000);
+        arrives("a", 1, 0, 1010, true);
+        arrives("a", 4, 0, 1020, true);
+        served("a", 1030);
+        assertEquals(List.of(), broken(), "the same zone");
+        arrives("a", 2, 1, 1025, true);
+        assertEquals(List.of("duplicate"), broken());
+    }
+
+    /** A drain counts from when it was written to the agent, or six seconds after it could have been. */
+    @Test
+    void drains() {
+        record.changes.add(new SoakRecord.Change(7, 3, ApplianceState.DRAINING, 1000));
+        sent("a", SoakMethod.READ, 7500);
+        served("a", 7520);
+        arrives("a", 3, 0, 7510, true);
+        assertEquals(List.of(), broken(), "within the grace");
+        record.told.add(new SoakRecord.Told(AGENT, 7, 6500));
+        assertEquals(List.of("drain"), broken());
+        record.changes.add(new SoakRecord.Change(8, 3, ApplianceState.SERVING, 7000));
+        record.told.add(new SoakRecord.Told(AGENT, 8, 7100));
+        assertEquals(List.of(), broken(), "it serves again");
+    }
+
+    @Test
+    void drainsDuringAnOutage() {
+        record.outages.add(new SoakRecord.Outage(500, 9000));
+        record.changes.add(new SoakRecord.Change(7, 3, ApplianceState.DRAINING, 1000));
+        sent("a", SoakMethod.READ, 15_400);
+        served("a", 15_420);
+        arrives("a", 3, 0, 15_410, true);
+        assertEquals(List.of(), broken(), "six seconds from its end, and the grace");
+        sent("b", SoakMethod.READ, 15_900);
+        served("b", 15_920);
+        arrives("b", 3, 0, 15_910, true);
+        assertEquals(List.of("drain"), broken());
+    }
+
+    @Test
+    void exposure() {
+        for (int i = 0; i < 20; i++) {
+            sent("r" + i, SoakMethod.READ, 1000 + i);
+            served("r" + i, 1100 + i);
+            if (i % 2 == 0) {
+                record.arrivals.add(new SoakRecord.Arrival("r" + i, 0, 0, StandInDesk.TRIAL_BUILD, 0, 1010 + i, 1010 + i, 100,
+                        true));
+            }
+        }
+        assertEquals(List.of("exposure"), broken());
+    }
+
+    @Test
+    void clientsThatLeft() {
+        sent("a", SoakMethod.READ, 1000);
+        record.left.put("a", new SoakRecord.Left("a", 1100));
+        arrives("a", 1, 0, 1190, true);
+        assertEquals(List.of(), broken());
+        arrives("a", 1, 0, 1400, true);
+        assertEquals(List.of("left"), broken());
+    }
+
+    @Test
+    void timeTold() {
+        sent("a", SoakMethod.READ, 1000);
+        served("a", 1900);
+        record.arrivals.add(new SoakRecord.Arrival("a", 1, 0, 1, 0, 1800, 1800, 600, true));
+        assertEquals(List.of("time told"), broken());
+    }
+
+    @Test
+    void holdings() {
+        record.holdings.add(new SoakRecord.Holdings(AGENT, 77, "start", 20, 12, 60_000));
+        record.holdings.add(new SoakRecord.Holdings(AGENT, 77, "end", 24, 13, 70_000));
+        assertEquals(List.of(), broken());
+        record.holdings.add(new SoakRecord.Holdings(AGENT, 77, "later", 60, 13, 200_000));
+        assertEquals(List.of("memory", "holdings"), broken());
+    }
+
+    /** A busy machine measures late: limits are longer by as much. */
+    @Test
+    void latenessOfTheRunItself() {
+        sent("late", SoakMethod.READ, 1000);
+        served("late", 2700);
+        record.latenessMs = 100;
+        assertEquals(List.of(), broken());
+    }
+
+    /** The same seed draws the same plan, and one that was made smaller keeps the rest. */
+    @Test
+    void plans() {
+        SoakPlan plan = SoakPlan.drawn(5, 12, 30_000);
+        assertEquals(plan, SoakPlan.drawn(5, 12, 30_000));
+        SoakPlan smaller = plan.with(plan.faults().subList(0, 3));
+        assertEquals(3, smaller.faults().size());
+        assertEquals(plan.appliances(), smaller.appliances());
+    }
+}
