--- a/src/test/java/honeygap/net/StormTest.java
+++ b/src/test/java/honeygap/net/StormTest.java
@@ -66,7 +66,8 @@
         final int number;
         final ServerSocket socket;
         final Random random;
-        final AtomicInteger inFlight = new AtomicInteger();
+        /** Of the present process: requests of the one before, which may still be answered, do not load it. */
+        volatile AtomicInteger inFlight = new AtomicInteger();
         volatile long version = 1;
         volatile int build;
         volatile String status = "up";
@@ -95,19 +96,20 @@
                     boolean isTracking = request[0].contains("/track");
                     seen.add(new Seen(this, build, isTracking ? "track" : "evaluate", id, System.nanoTime(),
                             request[1].contains("Idempotency-Key")));
-                    int now = inFlight.incrementAndGet();
+                    AtomicInteger ofThisLife = inFlight;
+                    int now = ofThisLife.incrementAndGet();
                     if (System.nanoTime() < coldUntil && now > 1) {
                         broken.add("4: " + now + " at once at cold server " + number);
                     }
-                    if (!answer(one, out, request, isTracking)) {
+                    if (!answer(one, out, request, isTracking, ofThisLife)) {
                         return;
                     }
                 }
             }
         }
 
-        private boolean answer(Socket one, OutputStream out, String[] request, boolean isTracking)
-                throws IOException {
+        private boolean answer(Socket one, OutputStream out, String[] request, boolean isTracking,
+                AtomicInteger ofThisLife) throws IOException {
             int chance;
             synchronized (random) {
                 chance = random.nextInt(1000);
@@ -122,7 +124,7 @@
                 sleep(chance / 5);
             }
             // Before anything is said of it: the next pick may come at once.
-            inFlight.decrementAndGet();
+            ofThisLife.decrementAndGet();
             if (chance < 10) {
                 out.write(whole, 0, whole.length / 2);
                 return false;
@@ -242,6 +244,7 @@
                         outs.add(new Out(server, since, System.nanoTime()));
                         if (server.status.equals("gone")) {
                             // It comes back as a new process, and cold.
+                            server.inFlight = new AtomicInteger();
                             server.coldUntil = System.nanoTime() + COLD_MS * MS;
                             starts++;
                         }
