Descriptors by the earlier sum again; the accept queue is not drained at the close

RestartTest.flood did not come to its end within 150 s with that and with Acceptor.close taking those in the queue; which of the two was not found out.

--- a/src/main/java/honeygap/net/Acceptor.java
+++ b/src/main/java/honeygap/net/Acceptor.java
@@ -25,14 +25,12 @@
     private static final long FAILURES_A_LOG_LINE = 100;
 
     private final Loop loop;
-    private final SimpleIoProcessorPool<NioSession> pool;
     private final Semaphore places;
     private final AtomicLong failures = new AtomicLong();
 
     Acceptor(Loop loop, Executor executor, SimpleIoProcessorPool<NioSession> pool, int places) {
         super(executor, pool);
         this.loop = loop;
-        this.pool = pool;
         this.places = new Semaphore(places);
         // Whoever has been taken is served, also when no more are.
         setCloseOnDeactivation(false);
@@ -60,21 +58,6 @@
         return session;
     }
 
-    /**
-     * Those that this machine has accepted, and nobody has taken yet, are served: closing would reset them, with what they
-     * have asked.
-     */
-    @Override
-    protected void close(ServerSocketChannel handle) throws Exception {
-        NioSession waiting = accept(pool, handle);
-        while (waiting != null) {
-            initSession(waiting, null, null);
-            waiting.getProcessor().add(waiting);
-            waiting = accept(pool, handle);
-        }
-        super.close(handle);
-    }
-
     /** The system's call. */
     NioSession call(IoProcessor<NioSession> processor, ServerSocketChannel handle) throws Exception {
         return super.accept(processor, handle);
--- a/src/main/java/honeygap/net/Queries.java
+++ b/src/main/java/honeygap/net/Queries.java
@@ -7,7 +7,6 @@
 import honeygap.net.desk.Ballots;
 import honeygap.net.desk.Bulletin;
 import honeygap.net.desk.News;
-import honeygap.net.guests.Guests;
 import honeygap.net.links.Links;
 import honeygap.net.list.Registry;
 import honeygap.read.Deployment;
@@ -16,21 +15,16 @@
 import honeygap.terms.Listing;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.stream.Stream;
 import org.tinylog.Logger;
 
 /** PostgreSQL's wire protocol with clients and appliances; the list and the desk over HTTP/1.1. */
 public final class Queries implements Protocol {
 
-    /** Descriptors kept back at least, and beyond those that the runtime holds at the start: list, desk, rereads. */
+    /** Descriptors kept back for the list, the desk and what the runtime itself holds. */
     private static final int RESERVE = 64;
-    private static final int RESERVE_BEYOND_RUNTIME = 32;
-    private static final Path OWN_DESCRIPTORS = Path.of("/proc/self/fd");
     /** Clients hold at most this part of the descriptors for RPCs; half of it is kept free for new ones. */
     private static final int CLIENTS_PART = 3;
     /** For so long, in milliseconds, the code is warmed up before the agent listens. */
@@ -61,9 +55,9 @@
             throw new Malformed("field seed is not a number in hexadecimal");
         }
         listen = told.address("listen");
-        // A client's connection may need one to an appliance; those let in are a few more than may stay.
+        // A client's connection may need one to an appliance.
         int sockets = told.part("limits").index("sockets", 1024);
-        most = Guests.mostFor(Math.max(2, sockets - reserve()));
+        most = Math.max(2, sockets - RESERVE) / 2;
         Listing listing = Deployment.onSockets(info);
         rules = Deployment.rules(loop.clock(), seed, methods, info, listing);
         Map<String, Method> names = new HashMap<>();
@@ -93,16 +87,6 @@
         rehearsal = new Rehearsal(info);
     }
 
-    /** What the runtime holds is its files and libraries: one jar, or dozens of them. */
-    private static int reserve() {
-        try (Stream<Path> held = Files.list(OWN_DESCRIPTORS)) {
-            return Math.max(RESERVE, (int) held.count() + RESERVE_BEYOND_RUNTIME);
-        } catch (IOException e) {
-            Logger.debug(e, "what the runtime holds can't be counted here");
-            return RESERVE;
-        }
-    }
-
     @Override
     public List<Loop.Core> cores() {
         return List.of(core);
--- a/src/main/java/honeygap/net/guests/Guests.java
+++ b/src/main/java/honeygap/net/guests/Guests.java
@@ -168,11 +168,6 @@
         return here.size();
     }
 
-    /** How many may stay where those let in, and a connection for each that stays, have so many descriptors. */
-    public static int mostFor(int descriptors) {
-        return Math.max(1, (descriptors - 1) * OVER / (2 * OVER + 1));
-    }
-
     /** So many are let in: a few more than may stay, so that whoever makes room can be told. */
     public int places() {
         return most + most / OVER + 1;
