--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -205,11 +205,6 @@
         return lease.mayOpen();
     }
 
-    /** Whether the list is known to be current. */
-    public boolean isListConfirmed() {
-        return lease.isConfirmed();
-    }
-
     /** How many appliances are known to serve, by the list or by their own answers. */
     public long covered() {
         return lease.covered();
