--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -216,6 +216,7 @@
         }
         loop.post(() -> {
             long since = loop.now();
+            protocols.forEach(protocol -> protocol.signalled(since));
             loop.at(since + LEAVING_AFTER, () -> protocols.forEach(Protocol::leave));
             loop.at(since + ENDING_AFTER, this::endWhenDone);
         });
@@ -229,6 +230,7 @@
     private void endWhenDone() {
         boolean isEmpty = clients() == 0;
         if (isEmpty && isShut) {
+            Logger.info("shutdown: ends, nothing open");
             ended.countDown();
         } else if (isEmpty && wasEmpty) {
             loop.shut(() -> {
--- a/src/main/java/honeygap/net/Flags.java
+++ b/src/main/java/honeygap/net/Flags.java
@@ -147,6 +147,11 @@
         take(told);
     }
 
+    @Override
+    public void signalled(long at) {
+        askers.signalled(at);
+    }
+
     @Override
     public void leave() {
         askers.leave();
@@ -167,6 +172,7 @@
         counters.group("flags", exchange);
         counters.group("flag clients", askers);
         counters.group("flag links", links);
+        counters.group("flag shutdown", askers.shutdownLog());
         if (registry != null) {
             counters.group("flag list", registry);
         } else {
--- a/src/main/java/honeygap/net/Protocol.java
+++ b/src/main/java/honeygap/net/Protocol.java
@@ -25,6 +25,10 @@
     /** Lets clients come; where. */
     InetSocketAddress listen() throws IOException;
 
+    /** The process was told to end at this time, in tenths of a millisecond; on the loop. */
+    default void signalled(long at) {
+    }
+
     /** From now on connections are closed between RPCs. */
     void leave();
 
--- a/src/main/java/honeygap/net/Queries.java
+++ b/src/main/java/honeygap/net/Queries.java
@@ -133,6 +133,11 @@
         loop.at(loop.now() + shared.every(), () -> share(shared));
     }
 
+    @Override
+    public void signalled(long at) {
+        clients.signalled(at);
+    }
+
     @Override
     public void leave() {
         clients.leave();
@@ -155,6 +160,7 @@
             all.count("builds", core.builds());
         });
         counters.group("clients", clients).group("links", links).group("list", registry)
-                .group("votes", ballots).group("bulletin", bulletin);
+                .group("votes", ballots).group("bulletin", bulletin)
+                .group("shutdown", clients.shutdownLog());
     }
 }
--- a/src/main/java/honeygap/net/askers/Askers.java
+++ b/src/main/java/honeygap/net/askers/Askers.java
@@ -8,6 +8,7 @@
 import honeygap.net.guests.Guests;
 import honeygap.net.http.Refusal;
 import honeygap.net.ofrep.Exchange;
+import honeygap.net.shutdown.ShutdownLog;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -27,6 +28,7 @@
     private final Method track;
     private final Method tracked;
     private final Map<String, Long> refused = new TreeMap<>();
+    private final ShutdownLog shutdownLog;
     private long pushedBack;
 
     /** Methods: one flag, all flags, an event, an event with a key; most connections; the longest body. */
@@ -40,7 +42,8 @@
         this.tracked = tracked;
         this.tick = tick;
         this.longestBody = longestBody;
-        guests = new Guests(loop, most, Math.max(1, most / 2), KEPT);
+        shutdownLog = new ShutdownLog(loop);
+        guests = new Guests(loop, most, Math.max(1, most / 2), KEPT, shutdownLog);
     }
 
     @Override
@@ -72,6 +75,16 @@
         refused.merge(kind, 1L, Long::sum);
     }
 
+    /** The process was told to end at this time. */
+    public void signalled(long at) {
+        shutdownLog.signalled(at, guests.count(), 0);
+    }
+
+    /** What happened since the signal to end. */
+    public ShutdownLog shutdownLog() {
+        return shutdownLog;
+    }
+
     void pushedBack() {
         pushedBack++;
     }
--- a/src/main/java/honeygap/net/clients/Client.java
+++ b/src/main/java/honeygap/net/clients/Client.java
@@ -5,6 +5,7 @@
 import honeygap.net.pg.Query;
 import honeygap.net.pg.Statement;
 import honeygap.net.pg.Words;
+import honeygap.net.shutdown.ShutdownEvent;
 import honeygap.read.Malformed;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -69,6 +70,7 @@
     protected void leave() {
         if (call != null) {
             Query left = call;
+            all.shutdown(ShutdownEvent.ABANDONED, left, this);
             drop();
             all.left(left);
         }
@@ -161,6 +163,7 @@
 
     @Override
     public void answer(ByteBuffer... row) {
+        all.shutdown(ShutdownEvent.SERVED, call, this);
         ByteBuffer[] parts = Arrays.copyOf(row, row.length + 1);
         parts[row.length] = Words.ready();
         finish(parts);
@@ -168,12 +171,14 @@
 
     @Override
     public void pushBack(long stayAwayMs) {
+        all.shutdown(ShutdownEvent.REFUSED, call, this);
         all.pushedBack();
         finish(Words.error(Words.TOO_MANY, "pushed back, trying again is harmless", stayAwayMs));
     }
 
     @Override
     public void abort() {
+        all.shutdown(ShutdownEvent.FAILED, call, this);
         finish(Words.error(Words.GIVEN_UP, "aborted", 0));
     }
 
--- a/src/main/java/honeygap/net/clients/Clients.java
+++ b/src/main/java/honeygap/net/clients/Clients.java
@@ -11,10 +11,13 @@
 import honeygap.net.pg.Query;
 import honeygap.net.pg.Statement;
 import honeygap.net.pg.Words;
+import honeygap.net.shutdown.ShutdownEvent;
+import honeygap.net.shutdown.ShutdownLog;
 import honeygap.read.Fields;
 import honeygap.read.Malformed;
 import java.util.HashMap;
 import java.util.Map;
+import org.tinylog.Logger;
 
 /** All clients of this agent, and the RPCs taken from them. */
 public final class Clients implements Front {
@@ -22,6 +25,8 @@
     /** The protocol lets a connection go that has had no open RPC for so long. */
     private static final long KEPT = 20_000;
 
+    private static final long SECOND = 10_000;
+
     final Loop loop;
     private final Rules rules;
     private final Map<String, Method> methods;
@@ -37,6 +42,8 @@
     private long pushedBack;
     private long rescued;
     final Statement statement = new Statement();
+    private final Map<Method, String> names = new HashMap<>();
+    private final ShutdownLog shutdownLog;
 
     /** Methods and customers by the names of their lists; above a crowd idle ones go; most is the limit. */
     public Clients(Loop loop, Rules rules, Map<String, Method> methods, Fields info,
@@ -44,7 +51,9 @@
         this.loop = loop;
         this.rules = rules;
         this.methods = methods;
-        guests = new Guests(loop, most, crowd, KEPT);
+        methods.forEach((name, method) -> names.put(method, name));
+        shutdownLog = new ShutdownLog(loop);
+        guests = new Guests(loop, most, crowd, KEPT, shutdownLog);
         tick = Math.max(1, info.tenths("TickNs"));
         mostOpen = info.part("Ceilings").index("MaxOpen", Integer.MAX_VALUE);
         if (info.has("Accounts")) {
@@ -81,6 +90,7 @@
                 statement.key(), now, deadline, statement.hintMicros() / 100, statement.retry(), client,
                 statement.before(), statement.after());
         open.put(call.id, call);
+        shutdown(ShutdownEvent.TAKEN, call, client);
         call.guard = loop.at(deadline + 2 * tick, () -> loop.post(() -> rescue(call)));
         return call;
     }
@@ -103,6 +113,22 @@
         }
     }
 
+    /** Notes what happened to an RPC, where the process has been told to end. */
+    void shutdown(ShutdownEvent event, Query call, Client client) {
+        shutdownLog.rpc(event, call.id, names.get(call.method), client.age(), call.deadline - loop.clock());
+    }
+
+    /** The process was told to end at this time. */
+    public void signalled(long at) {
+        shutdownLog.signalled(at, guests.count(), open.size());
+        loop.at(at + SECOND, this::tellWhatIsOpen);
+    }
+
+    /** What happened since the signal to end. */
+    public ShutdownLog shutdownLog() {
+        return shutdownLog;
+    }
+
     void left(Query call) {
         loop.gather(() -> rules.left(call));
     }
@@ -128,6 +154,14 @@
         guests.leave();
     }
 
+    /** Once a second until the end: what the shutdown waits for. */
+    private void tellWhatIsOpen() {
+        if (guests.count() > 0) {
+            Logger.info("shutdown: waits for connections by stage {}, {} RPCs open", guests.stages(), open.size());
+        }
+        loop.at(loop.now() + SECOND, this::tellWhatIsOpen);
+    }
+
     @Override
     public void drain(boolean isDrained) {
         guests.drain(isDrained);
--- a/src/main/java/honeygap/net/door/Door.java
+++ b/src/main/java/honeygap/net/door/Door.java
@@ -9,6 +9,7 @@
 import honeygap.net.Loop;
 import honeygap.net.guests.Guests;
 import honeygap.net.http.Refusal;
+import honeygap.net.shutdown.ShutdownLog;
 import honeygap.read.Fields;
 import honeygap.read.Malformed;
 import java.io.ByteArrayOutputStream;
@@ -65,7 +66,7 @@
         this.token = token.getBytes(StandardCharsets.UTF_8);
         ledger = new Ledger(REMEMBERED, generation);
         file = new LedgerFile(ledgerFile, ledger);
-        guests = new Guests(loop, MOST, MOST / 2, KEPT);
+        guests = new Guests(loop, MOST, MOST / 2, KEPT, new ShutdownLog(loop));
     }
 
     /** Before anybody is listened to: what goes beside the loop. */
--- a/src/main/java/honeygap/net/guests/Guest.java
+++ b/src/main/java/honeygap/net/guests/Guest.java
@@ -3,7 +3,9 @@
 import honeygap.net.Gathered;
 import honeygap.net.Loop;
 import honeygap.net.Peer;
+import honeygap.net.shutdown.ShutdownEvent;
 import java.nio.ByteBuffer;
+import java.util.Locale;
 import org.apache.mina.core.session.IoSession;
 
 /**
@@ -86,6 +88,7 @@
     public final void opened(IoSession session) {
         this.session = session;
         cameAt = loop.now();
+        guests.noted(ShutdownEvent.ACCEPTED, this);
         stage();
         guests.came(this);
     }
@@ -168,6 +171,16 @@
         return hasAsked || loop.now() >= cameAt + GRACE;
     }
 
+    /** What it waits for, in small letters. */
+    final String waitsFor() {
+        return stage.name().toLowerCase(Locale.ROOT);
+    }
+
+    /** For how long its connection has been here. */
+    public final long age() {
+        return loop.clock() - cameAt;
+    }
+
     /** When at the latest it has had its turn. */
     final long hasItsTurnAt() {
         return cameAt + GRACE;
@@ -209,6 +222,7 @@
     }
 
     protected final void close() {
+        guests.noted(ShutdownEvent.CLOSED, this);
         ending = true;
         session.closeOnFlush();
         stage();
--- a/src/main/java/honeygap/net/guests/Guests.java
+++ b/src/main/java/honeygap/net/guests/Guests.java
@@ -2,10 +2,15 @@
 
 import honeygap.net.Counters;
 import honeygap.net.Loop;
+import honeygap.net.shutdown.ShutdownEvent;
+import honeygap.net.shutdown.ShutdownLog;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /** All connections of one front: who may stay, who makes room, who has rested for too long. */
 public final class Guests {
@@ -17,6 +22,7 @@
     private final int most;
     private final int crowd;
     private final long kept;
+    private final ShutdownLog shutdownLog;
     private final Set<Guest> here = new LinkedHashSet<>();
     /** Longest idle first. */
     private final Set<Guest> idle = new LinkedHashSet<>();
@@ -31,8 +37,9 @@
     private long full;
 
     /** Above a crowd idle ones go, most is the limit; one idle for so long, in tenths of a millisecond, goes. */
-    public Guests(Loop loop, int most, int crowd, long kept) {
+    public Guests(Loop loop, int most, int crowd, long kept, ShutdownLog shutdownLog) {
         this.loop = loop;
+        this.shutdownLog = shutdownLog;
         this.most = most;
         this.crowd = crowd;
         this.kept = kept;
@@ -71,6 +78,10 @@
         }
     }
 
+    void noted(ShutdownEvent event, Guest guest) {
+        shutdownLog.connection(event, guest.age());
+    }
+
     void went(Guest guest) {
         here.remove(guest);
         idle.remove(guest);
@@ -164,6 +175,11 @@
         all.forEach(this::closeAtLast);
     }
 
+    /** How many connections are in each stage. */
+    public Map<String, Long> stages() {
+        return here.stream().collect(Collectors.groupingBy(Guest::waitsFor, TreeMap::new, Collectors.counting()));
+    }
+
     public int count() {
         return here.size();
     }
--- /dev/null
+++ b/src/main/java/honeygap/net/shutdown/ShutdownLog.java
@@ -0,0 +1,81 @@
+package honeygap.net.shutdown;
+
+import honeygap.net.Counters;
+import honeygap.net.Loop;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.tinylog.Logger;
+import org.tinylog.ThreadContext;
+
+/**
+ * What happens to the RPCs and connections of one front between the signal to end and the end of the process: a structured
+ * line each, bounded a second, and counters. On the loop.
+ */
+public final class ShutdownLog implements Counters.Group {
+
+    private static final int LINES_PER_SECOND = 50;
+    private static final long TENTHS_A_MS = 10;
+
+    private final Loop loop;
+    private final LogBudget budget;
+    private final Map<ShutdownEvent, Long> counts = new LinkedHashMap<>();
+    private long signalledAt = Long.MAX_VALUE;
+
+    public ShutdownLog(Loop loop) {
+        this.loop = loop;
+        budget = new LogBudget(loop, LINES_PER_SECOND);
+    }
+
+    /** The signal came then, with so many connections and RPCs open. */
+    public void signalled(long at, int connections, int openRpcs) {
+        signalledAt = at;
+        Logger.info("shutdown: signal heard, {} connections, {} RPCs open", connections, openRpcs);
+    }
+
+    public boolean isSignalled() {
+        return signalledAt != Long.MAX_VALUE;
+    }
+
+    /** Something happened to an RPC; nothing is noted before the signal. Times are tenths of a millisecond. */
+    public void rpc(ShutdownEvent event, String id, String method, long connectionAge, long timeLeft) {
+        if (!isSignalled() || !counted(event)) {
+            return;
+        }
+        ThreadContext.put("event", event.word);
+        ThreadContext.put("rpc", id);
+        ThreadContext.put("method", method);
+        ThreadContext.put("left_ms", Long.toString(timeLeft / TENTHS_A_MS));
+        try {
+            Logger.info("shutdown: RPC {} ({}) {} {} ms after the signal, {} ms left, on a connection {} ms old", id, method,
+                    event.word, sinceSignal(), timeLeft / TENTHS_A_MS, connectionAge / TENTHS_A_MS);
+        } finally {
+            ThreadContext.remove("event");
+            ThreadContext.remove("rpc");
+            ThreadContext.remove("method");
+            ThreadContext.remove("left_ms");
+        }
+    }
+
+    /** Something happened to a connection; nothing is noted before the signal. */
+    public void connection(ShutdownEvent event, long age) {
+        if (isSignalled() && counted(event)) {
+            Logger.info("shutdown: connection {} {} ms after the signal, {} ms old", event.word, sinceSignal(), age / TENTHS_A_MS);
+        }
+    }
+
+    /** Counts it; whether it may be logged as well. */
+    private boolean counted(ShutdownEvent event) {
+        counts.merge(event, 1L, Long::sum);
+        return budget.allows();
+    }
+
+    private long sinceSignal() {
+        return (loop.clock() - signalledAt) / TENTHS_A_MS;
+    }
+
+    @Override
+    public void report(Counters counters) {
+        counts.forEach((event, many) -> counters.count(event.word, many));
+        counters.count("lines left out", budget.leftOut());
+    }
+}
