--- a/src/test/java/honeygap/cli/AgentProcess.java
+++ b/src/test/java/honeygap/cli/AgentProcess.java
@@ -11,6 +11,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -55,6 +56,12 @@
         new ProcessBuilder("kill", "-" + name, Long.toString(pid())).start().waitFor();
     }
 
+    /** SIGKILL, at once. */
+    void kill() {
+        // By its handle: its log stays to be read.
+        process.toHandle().destroyForcibly();
+    }
+
     /** How it ended; the rest of its log is read. */
     int ended() throws IOException, InterruptedException {
         until("\0");
@@ -73,15 +80,24 @@
 
     /** A configuration that has one appliance, one method and a list and desk at these addresses. */
     static String config(int port, int appliance, int list, int sockets) {
+        return config(port, List.of(appliance), list, sockets, 3000);
+    }
+
+    /** The same with an appliance at each of these ports, and this deadline, in milliseconds, of its method. */
+    static String config(int port, List<Integer> appliances, int list, int sockets, int deadlineMs) {
+        List<String> entries = new ArrayList<>();
+        for (int appliance : appliances) {
+            entries.add("{\"name\": \"s%d\", \"address\": \"127.0.0.1:%d\", \"zone\": \"a\", \"type\": \"m\", \"group\": 1, "
+                    .formatted(entries.size(), appliance) + "\"status\": \"SERVING\", \"since_ms\": 0, \"release\": 1}");
+        }
         return """
                 {"name": "n1", "listen": "127.0.0.1:%d", "discovery": "127.0.0.1:%d", "seed": "1",
                  "limits": {"sockets": %d}, "rollouts": {"address": "127.0.0.1:%d"},
-                 "known": {"index": 1, "snapshot": true, "endpoints": [{"name": "one", "address": "127.0.0.1:%d",
-                  "zone": "a", "type": "m", "group": 1, "status": "SERVING", "since_ms": 0, "release": 1}]},
+                 "known": {"index": 1, "snapshot": true, "endpoints": [%s]},
                  "settings": {"TickNs": 5000000, "FleetSize": 1, "RegistryMode": "push",
-                  "Classes": [{"Name": "look", "AimNs": 500000000, "GiveUpNs": 3000000000, "Effect": "read_like"}],
+                  "Classes": [{"Name": "look", "AimNs": 500000000, "GiveUpNs": %d000000, "Effect": "read_like"}],
                   "Ceilings": {"MaxAttempts": 1, "ConnectTimeoutNs": 2000000000}}}
-                """.formatted(port, list, sockets, list, appliance);
+                """.formatted(port, list, sockets, list, String.join(", ", entries), deadlineMs);
     }
 
     /** A client that has said who it is and been welcomed. */
@@ -90,21 +106,63 @@
         final Socket socket;
         private final DataInputStream in;
         private final OutputStream out;
+        private final List<String> sent = Collections.synchronizedList(new ArrayList<>());
 
         Client(int port) throws IOException {
-            socket = new Socket("127.0.0.1", port);
+            this(new Socket("127.0.0.1", port));
+            out.write(startup());
+            hear();
+        }
+
+        private Client(Socket socket) throws IOException {
+            this.socket = socket;
             socket.setSoTimeout(10_000);
             in = new DataInputStream(socket.getInputStream());
             out = socket.getOutputStream();
+        }
+
+        /** One that is connected and has said nothing yet. */
+        static Client silent(int port) throws IOException {
+            return new Client(new Socket("127.0.0.1", port));
+        }
+
+        static byte[] startup() {
             byte[] pairs = "user\0backend\0database\0store\0\0".getBytes(StandardCharsets.UTF_8);
-            out.write(ByteBuffer.allocate(8 + pairs.length).putInt(8 + pairs.length).putInt(196608).put(pairs).array());
-            hear();
+            return ByteBuffer.allocate(8 + pairs.length).putInt(8 + pairs.length).putInt(196608).put(pairs).array();
         }
 
-        void send(String id, int ms) throws IOException {
+        static byte[] request(String id, int ms) {
             byte[] words = ("SELECT content FROM kv WHERE name = 'k1' /* id=" + id + ",c=look,t=t,d=" + ms + " */\0")
                     .getBytes(StandardCharsets.UTF_8);
-            out.write(ByteBuffer.allocate(5 + words.length).put((byte) 'Q').putInt(4 + words.length).put(words).array());
+            return ByteBuffer.allocate(5 + words.length).put((byte) 'Q').putInt(4 + words.length).put(words).array();
+        }
+
+        void send(String id, int ms) throws IOException {
+            send(id, new byte[0], request(id, ms));
+        }
+
+        /** Writes what ends the request with this id, and something before it. */
+        void send(String id, byte[] before, byte[] end) throws IOException {
+            sent.add(id);
+            out.write(before);
+            out.write(end);
+        }
+
+        void write(byte[] bytes) throws IOException {
+            out.write(bytes);
+        }
+
+        /** Hears answers until the connection ends; the ids of the requests that had none, in the order of their sending. */
+        List<String> unanswered() {
+            int answers = 0;
+            String heard;
+            do {
+                heard = hear();
+                // A last word that ends the connection is an answer as well; a welcome is none.
+                answers += heard.startsWith("T") || heard.startsWith("E") ? 1 : 0;
+            } while (!heard.endsWith("end"));
+            List<String> all = new ArrayList<>(sent);
+            return all.subList(Math.min(answers, all.size()), all.size());
         }
 
         /** The types of messages up to the readiness for the next query; "end" where the connection ends. */
--- /dev/null
+++ b/src/test/java/honeygap/cli/HangingAppliance.java
@@ -0,0 +1,78 @@
+package honeygap.cli;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Semaphore;
+
+/** An appliance that takes every request on every connection and answers none. */
+final class HangingAppliance implements AutoCloseable {
+
+    private static final byte[] WELCOME = {'R', 0, 0, 0, 8, 0, 0, 0, 0, 'Z', 0, 0, 0, 5, 'I'};
+
+    private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private final Semaphore asked = new Semaphore(0);
+    private final Queue<String> statements = new ConcurrentLinkedQueue<>();
+
+    HangingAppliance() throws IOException {
+        start(() -> {
+            while (true) {
+                Socket socket = server.accept();
+                start(() -> serve(socket));
+            }
+        });
+    }
+
+    private interface Task {
+
+        void run() throws IOException;
+    }
+
+    private static void start(Task task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (IOException e) {
+                // The agent, or the test, has closed.
+            }
+        }, "hanging appliance");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void serve(Socket socket) throws IOException {
+        try (socket) {
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            in.readNBytes(in.readInt() - Integer.BYTES);
+            socket.getOutputStream().write(WELCOME);
+            while (in.read() >= 0) {
+                statements.add(new String(in.readNBytes(in.readInt() - Integer.BYTES), StandardCharsets.UTF_8));
+                asked.release();
+            }
+        }
+    }
+
+    int port() {
+        return server.getLocalPort();
+    }
+
+    /** Comes back when so many requests have come since the last call. */
+    void awaitRequests(int many) throws InterruptedException {
+        asked.acquire(many);
+    }
+
+    /** Whether a request with this id has come. */
+    boolean hasHeard(String id) {
+        return statements.stream().anyMatch(statement -> statement.contains("id=" + id + ","));
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+}
