A shutdown has a deadline: every RPC is answered by it, and the process ends before it is killed

Seen in KilledAfterSignalTest by five ways in.

Change: rules.shutdown.ShutdownSchedule, worked out from the signal and the longest deadline (in force or reread); Shutdown bounds every RPC's deadline, refuses what can't be answered in time any more, and gives up picks at the shutdown deadline. The listener closes at 0.7 s, what the system has accepted is taken first; silent connections close, half requests get a last word. Agent.leave comes back by the schedule's end by its own clock.

Result: KilledAfterSignalTest green for deadlines of 3, 5 and 0.8 s; ShutdownTest, RestartTest, AcceptorTest green.

--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -9,6 +9,9 @@
 import honeygap.rules.health.Health;
 import honeygap.rules.room.Rooms;
 import honeygap.rules.routing.*;
+import honeygap.rules.shutdown.Shutdown;
+import honeygap.rules.shutdown.ShutdownPhase;
+import honeygap.rules.shutdown.ShutdownSchedule;
 import honeygap.rules.votes.Votes;
 import honeygap.rules.work.Work;
 import honeygap.terms.*;
@@ -41,6 +44,7 @@
     private final Slowness slowness;
     private final Counts counts;
     private final Votes votes;
+    private final Shutdown shutdown;
     private final Repeats repeats;
     private final Choice choice;
     private final ArrayDeque<Rpc> todo = new ArrayDeque<>(), held = new ArrayDeque<>();
@@ -63,7 +67,8 @@
         counts = new Counts(fleet, desk);
         votes = new Votes(fleet, chance, failures, slowness, counts, desk, exposure.waves(), onWait,
                 new Ballot());
-        repeats = new Repeats(fleet, tries.most());
+        shutdown = new Shutdown(fleet);
+        repeats = new Repeats(fleet, shutdown, tries.most());
         choice = new Choice(fleet, chance, exposing, failures, health, rooms, coldStarts, repeats, lease);
     }
 
@@ -102,6 +107,7 @@
         failures.judge(pick, outcome);
         slowness.ended(pick, outcome, lag);
         pick.end(outcome);
+        shutdown.ended(pick);
         health.way(pick.appliance.zone, rpc, outcome, lag);
         rooms.ended(pick, outcome, lag);
         health.ended(pick, outcome, lag);
@@ -200,6 +206,11 @@
         lease.moved();
     }
 
+    /** The process has been told to end. */
+    public void ending(ShutdownSchedule schedule) {
+        shutdown.begins(schedule);
+    }
+
     /** Whether clients may come yet: an agent that has just started waits for its list, for a while. */
     public boolean mayOpen() {
         return lease.mayOpen();
@@ -226,7 +237,12 @@
             ctl.watch();
             return true;
         }
-        if (votes.next(ctl)) {
+        if (shutdown.phase() != ShutdownPhase.ENDED && votes.next(ctl)) {
+            return true;
+        }
+        Pick overdue = shutdown.overdue();
+        if (overdue != null) {
+            ctl.cancel(overdue.rpc, overdue.rpc.picks.indexOf(overdue));
             return true;
         }
         while (!todo.isEmpty()) {
@@ -236,6 +252,7 @@
             }
         }
         long wake = Math.min(listCalls.callAt(), fleet.isOpen() ? fleet.now + Fleet.SECOND / 10 : Long.MAX_VALUE);
+        wake = Math.min(wake, shutdown.wakeAt());
         wake = held.isEmpty() ? wake : Math.min(wake, fleet.now + 2 * fleet.tick);
         if (wake < wokenFor) {
             wokenFor = wake;
@@ -248,7 +265,7 @@
     /** Decides about an RPC that has no pick out; false when it is held. */
     private boolean decide(Rpc rpc, Ctl ctl) {
         Pick mayRun = Repeats.firstThatMayRun(rpc);
-        if (!repeats.mayTry(rpc, mayRun)) {
+        if (shutdown.refuses(rpc) || !repeats.mayTry(rpc, mayRun)) {
             return finish(rpc, mayRun, ctl);
         }
         // Where one without ties found no place in this turn, nor will the next: many may be held, and often.
@@ -284,6 +301,7 @@
         appliance.credit -= pick.cold ? Work.cost(rpc) : 0;
         exposing.sent(pick);
         choice.sent(pick);
+        shutdown.sent(pick);
         ctl.pick(rpc, appliance, repeats.within(rpc, pick.cold || onTrial(pick.build)));
     }
 }
--- a/src/main/java/honeygap/net/Acceptor.java
+++ b/src/main/java/honeygap/net/Acceptor.java
@@ -27,10 +27,15 @@
     private final Loop loop;
     private final Semaphore places;
     private final AtomicLong failures = new AtomicLong();
+    private final SimpleIoProcessorPool<NioSession> pool;
+    /** When accepting what the system has accepted ends at the latest, by the runtime's monotonic clock. */
+    private volatile long drainsUntil;
+    private volatile boolean drains;
 
     Acceptor(Loop loop, Executor executor, SimpleIoProcessorPool<NioSession> pool, int places) {
         super(executor, pool);
         this.loop = loop;
+        this.pool = pool;
         this.places = new Semaphore(places);
         // Whoever has been taken is served, also when no more are.
         setCloseOnDeactivation(false);
@@ -51,6 +56,10 @@
                 places.release();
             }
         }
+        return placed(session);
+    }
+
+    private NioSession placed(NioSession session) {
         if (session != null) {
             // Closed is not gone: the system's descriptor is let go of when the loop selects the next time.
             session.getCloseFuture().addListener(closed -> loop.post(() -> loop.at(loop.now() + 1, places::release)));
@@ -58,6 +67,54 @@
         return session;
     }
 
+    /**
+     * Closes the listening sockets; what the system has accepted before is accepted here first. Guards against a reset of connections
+     * in its queue whose clients have been told that somebody is there, and may have sent.
+     */
+    void stop(long untilNanos) {
+        drainsUntil = untilNanos;
+        drains = true;
+        unbind();
+    }
+
+    @Override
+    protected void close(ServerSocketChannel handle) throws Exception {
+        if (drains) {
+            // Comes back at once, with the sockets on which somebody waits marked.
+            wakeup();
+            select();
+            while (acceptWaiting(handle)) {
+                continue;
+            }
+        }
+        super.close(handle);
+    }
+
+    /** Whether one more connection waited and was accepted. */
+    private boolean acceptWaiting(ServerSocketChannel handle) throws Exception {
+        long left = drainsUntil - System.nanoTime();
+        if (left <= 0 || !places.tryAcquire(left, TimeUnit.NANOSECONDS)) {
+            return false;
+        }
+        NioSession session = null;
+        boolean isLast = false;
+        try {
+            session = call(pool, handle);
+            isLast = session == null;
+        } catch (IOException e) {
+            failed(e);
+        } finally {
+            if (session == null) {
+                places.release();
+            }
+        }
+        if (session != null) {
+            initSession(placed(session), null, null);
+            session.getProcessor().add(session);
+        }
+        return !isLast;
+    }
+
     /** The system's call. */
     NioSession call(IoProcessor<NioSession> processor, ServerSocketChannel handle) throws Exception {
         return super.accept(processor, handle);
--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -1,6 +1,7 @@
 package honeygap.net;
 
 import honeygap.read.Malformed;
+import honeygap.rules.shutdown.ShutdownSchedule;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -8,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 
 /** One agent on sockets: a loop, and the protocols that it speaks on it. */
@@ -15,10 +17,8 @@
 
     /** How often the counters go to the log. */
     private static final long REPORT = 100_000;
-    /** New clients may come for so long after the order to end, and what is open is answered. */
-    private static final long LEAVING_AFTER = 7_000;
-    private static final long ENDING_AFTER = 14_000;
     private static final long LOOK_EVERY = 100;
+    private static final long MICROSECONDS_A_TENTH = 100;
     private static final int LISTEN_TRIES = 20;
     private static final long LISTEN_PAUSE_MS = 50;
 
@@ -31,11 +31,10 @@
     /** Takes clients; and has been told to end. Guarded by this. */
     private boolean isOpen;
     private boolean isLeaving;
-    /** No client was here when last looked, and no new one is taken any more. */
-    private boolean wasEmpty;
-    private boolean isShut;
     private final Object rereading = new Object();
     private boolean isDrained;
+    /** Open at the last look, for the log line of the end. */
+    private volatile int connections;
     private long rereads;
     private long unread;
 
@@ -206,39 +205,49 @@
         return protocols.stream().mapToInt(Protocol::count).sum();
     }
 
-    /** Serves on until nothing that was taken is open; comes back then, or at once before the start. */
+    /**
+     * Ends by the schedule of a shutdown: comes back when nothing that was taken is open, at the shutdown's end at the latest; at once
+     * before the start.
+     */
     public void leave() throws InterruptedException {
+        long signalledAt = loop.clock();
         synchronized (this) {
             isLeaving = true;
             if (!isOpen) {
                 return;
             }
         }
-        loop.post(() -> {
-            long since = loop.now();
-            protocols.forEach(protocol -> protocol.signalled(since));
-            loop.at(since + LEAVING_AFTER, () -> protocols.forEach(Protocol::leave));
-            loop.at(since + ENDING_AFTER, this::endWhenDone);
+        long longest = protocols.stream().mapToLong(Protocol::longestDeadline).max().orElse(0);
+        ShutdownSchedule schedule = ShutdownSchedule.of(signalledAt, longest);
+        loop.post(() -> shutDown(schedule));
+        // By this thread's own clock: a loop that is held up must not hold up the end.
+        if (!ended.await((schedule.endsBy() - loop.clock()) * MICROSECONDS_A_TENTH, TimeUnit.MICROSECONDS)) {
+            Logger.warn("shutdown: ends with {} connections open", connections);
+        }
+    }
+
+    private void shutDown(ShutdownSchedule schedule) {
+        protocols.forEach(protocol -> protocol.shutDown(schedule));
+        loop.at(schedule.closesAt(), () -> {
+            Logger.info("shutdown: closing, {} connections open", clients());
+            protocols.forEach(Protocol::leave);
+            // Not before the next turn: what was accepted last is here by then.
+            loop.shut(schedule.answersBy(), () -> loop.at(loop.now() + LOOK_EVERY, this::endWhenDone));
+            loop.at(loop.now() + LOOK_EVERY, this::countConnections);
         });
-        ended.await();
     }
 
-    /**
-     * Guards against ending with a connection that this machine has accepted and the loop has not seen: where nobody
-     * was here at two looks no more are taken, and whoever came up to then is served before the end.
-     */
+    private void countConnections() {
+        connections = clients();
+        loop.at(loop.now() + LOOK_EVERY, this::countConnections);
+    }
+
+    /** Guards against ending with a connection that this machine has accepted and the loop has not seen. */
     private void endWhenDone() {
-        boolean isEmpty = clients() == 0;
-        if (isEmpty && isShut) {
+        if (clients() == 0) {
             Logger.info("shutdown: ends, nothing open");
             ended.countDown();
-        } else if (isEmpty && wasEmpty) {
-            loop.shut(() -> {
-                isShut = true;
-                loop.at(loop.now() + LOOK_EVERY, this::endWhenDone);
-            });
         } else {
-            wasEmpty = isEmpty;
             loop.at(loop.now() + LOOK_EVERY, this::endWhenDone);
         }
     }
--- a/src/main/java/honeygap/net/Flags.java
+++ b/src/main/java/honeygap/net/Flags.java
@@ -19,6 +19,7 @@
 import honeygap.net.ofrep.Exchange;
 import honeygap.net.servers.Server;
 import honeygap.read.FlagSheet;
+import honeygap.rules.shutdown.ShutdownSchedule;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -148,8 +149,14 @@
     }
 
     @Override
-    public void signalled(long at) {
-        askers.signalled(at);
+    public long longestDeadline() {
+        return sheet.methods.stream().mapToLong(method -> method.deadline).max().orElse(0);
+    }
+
+    @Override
+    public void shutDown(ShutdownSchedule schedule) {
+        loop.gather(() -> rules.ending(schedule));
+        askers.shutDown(schedule);
     }
 
     @Override
--- a/src/main/java/honeygap/net/Loop.java
+++ b/src/main/java/honeygap/net/Loop.java
@@ -76,6 +76,7 @@
     private static final AtomicLong BROKEN = new AtomicLong();
 
     private static final long TENTHS_A_MS = 10;
+    private static final long NANOS_A_TENTH = 100_000;
     private static final long IDLE_WAIT_MS = 1000;
     private static final int TIMERS_KEPT = 64;
     private static final int READ_AT_FIRST = 4096;
@@ -233,10 +234,13 @@
         return acceptor.getLocalAddress();
     }
 
-    /** Takes no new connections from then on; those that are there go on. Done is told on the loop. */
-    void shut(Runnable done) {
+    /**
+     * Takes no new connections from then on; those that are there go on, and those that the system has accepted are taken as well, up
+     * to a time on this loop's clock. Done is told on the loop.
+     */
+    void shut(long until, Runnable done) {
         onOwnThread(() -> {
-            acceptors.forEach(Acceptor::unbind);
+            acceptors.forEach(acceptor -> acceptor.stop(zero + until * NANOS_A_TENTH));
             post(done);
         });
     }
--- a/src/main/java/honeygap/net/Protocol.java
+++ b/src/main/java/honeygap/net/Protocol.java
@@ -1,5 +1,6 @@
 package honeygap.net;
 
+import honeygap.rules.shutdown.ShutdownSchedule;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -25,9 +26,11 @@
     /** Lets clients come; where. */
     InetSocketAddress listen() throws IOException;
 
-    /** The process was told to end at this time, in tenths of a millisecond; on the loop. */
-    default void signalled(long at) {
-    }
+    /** The longest deadline of all methods, in tenths of a millisecond; from any thread. */
+    long longestDeadline();
+
+    /** The process was told to end, and goes by this schedule; on the loop. */
+    void shutDown(ShutdownSchedule schedule);
 
     /** From now on connections are closed between RPCs. */
     void leave();
@@ -39,6 +42,6 @@
     default void share(Shared shared) {
     }
 
-    /** How many clients are connected. */
+    /** How many connections of clients there are, those included that are closed once all has been written to them. */
     int count();
 }
--- a/src/main/java/honeygap/net/Queries.java
+++ b/src/main/java/honeygap/net/Queries.java
@@ -12,6 +12,7 @@
 import honeygap.read.Deployment;
 import honeygap.read.Fields;
 import honeygap.read.Malformed;
+import honeygap.rules.shutdown.ShutdownSchedule;
 import honeygap.terms.Listing;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -42,12 +43,14 @@
     private final int most;
     private final Fields info;
     private final Rehearsal rehearsal;
+    private volatile long longestDeadline;
 
     public Queries(Loop loop, Fields told) throws Malformed {
         this.loop = loop;
         info = told.object("settings");
         Fields desk = told.object("rollouts");
         List<Method> methods = Deployment.methods(info);
+        longestDeadline = longest(methods);
         long seed;
         try {
             seed = Long.parseUnsignedLong(told.text("seed"), 16);
@@ -87,6 +90,10 @@
         rehearsal = new Rehearsal(info);
     }
 
+    private static long longest(List<Method> methods) {
+        return methods.stream().mapToLong(method -> method.deadline).max().orElse(0);
+    }
+
     @Override
     public List<Loop.Core> cores() {
         return List.of(core);
@@ -119,7 +126,11 @@
     public Runnable reread(Fields told) throws Malformed {
         InetSocketAddress list = told.address("discovery");
         InetSocketAddress desk = told.object("rollouts").address("address");
+        // Whoever ends this process may go by either: the shorter one leaves enough time in any case.
+        long shorter = told.has("settings") ? Math.min(longestDeadline, longest(Deployment.methods(told.object("settings"))))
+                : longestDeadline;
         return () -> {
+            longestDeadline = shorter;
             registry.move(list);
             ballots.move(desk);
             bulletin.move(desk);
@@ -134,8 +145,14 @@
     }
 
     @Override
-    public void signalled(long at) {
-        clients.signalled(at);
+    public long longestDeadline() {
+        return longestDeadline;
+    }
+
+    @Override
+    public void shutDown(ShutdownSchedule schedule) {
+        loop.gather(() -> rules.ending(schedule));
+        clients.shutDown(schedule);
     }
 
     @Override
--- a/src/main/java/honeygap/net/askers/Asker.java
+++ b/src/main/java/honeygap/net/askers/Asker.java
@@ -98,6 +98,19 @@
         return head(503, Bodies.error(null, null, "too many connections"), "Retry-After: 1\r\n", false);
     }
 
+    @Override
+    protected ByteBuffer shutdownWord() {
+        all.refused("shutting down");
+        return head(503, Bodies.error(null, null, "this agent is shutting down"), "Retry-After: 1\r\n", false);
+    }
+
+    @Override
+    protected void giveUp() {
+        Asking left = asking;
+        all.exchange.left(left);
+        left.abort();
+    }
+
     @Override
     protected void keep(ByteBuffer bytes) {
         requests.feed(bytes);
--- a/src/main/java/honeygap/net/askers/Askers.java
+++ b/src/main/java/honeygap/net/askers/Askers.java
@@ -9,6 +9,7 @@
 import honeygap.net.http.Refusal;
 import honeygap.net.ofrep.Exchange;
 import honeygap.net.shutdown.ShutdownLog;
+import honeygap.rules.shutdown.ShutdownSchedule;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -75,9 +76,10 @@
         refused.merge(kind, 1L, Long::sum);
     }
 
-    /** The process was told to end at this time. */
-    public void signalled(long at) {
-        shutdownLog.signalled(at, guests.count(), 0);
+    /** The process was told to end, and goes by this schedule. */
+    public void shutDown(ShutdownSchedule schedule) {
+        shutdownLog.signalled(schedule, guests.stages());
+        guests.shutDown(schedule, tick);
     }
 
     /** What happened since the signal to end. */
--- a/src/main/java/honeygap/net/clients/Client.java
+++ b/src/main/java/honeygap/net/clients/Client.java
@@ -61,6 +61,16 @@
         return Words.fatal(Words.TOO_MANY, "too many connections");
     }
 
+    @Override
+    protected ByteBuffer shutdownWord() {
+        return Words.fatal(Words.SHUTTING_DOWN, "this agent is shutting down, trying again is harmless");
+    }
+
+    @Override
+    protected void giveUp() {
+        all.rescue(call);
+    }
+
     @Override
     protected void keep(ByteBuffer bytes) {
         frames.feed(bytes);
--- a/src/main/java/honeygap/net/clients/Clients.java
+++ b/src/main/java/honeygap/net/clients/Clients.java
@@ -15,9 +15,9 @@
 import honeygap.net.shutdown.ShutdownLog;
 import honeygap.read.Fields;
 import honeygap.read.Malformed;
+import honeygap.rules.shutdown.ShutdownSchedule;
 import java.util.HashMap;
 import java.util.Map;
-import org.tinylog.Logger;
 
 /** All clients of this agent, and the RPCs taken from them. */
 public final class Clients implements Front {
@@ -25,8 +25,6 @@
     /** The protocol lets a connection go that has had no open RPC for so long. */
     private static final long KEPT = 20_000;
 
-    private static final long SECOND = 10_000;
-
     final Loop loop;
     private final Rules rules;
     private final Map<String, Method> methods;
@@ -105,7 +103,7 @@
     }
 
     /** Guards against an RPC that the rules have lost by a fault: after they had their say in this turn. */
-    private void rescue(Query call) {
+    void rescue(Query call) {
         if (call.isAwaited()) {
             rescued++;
             call.closed = true;
@@ -118,10 +116,10 @@
         shutdownLog.rpc(event, call.id, names.get(call.method), client.age(), call.deadline - loop.clock());
     }
 
-    /** The process was told to end at this time. */
-    public void signalled(long at) {
-        shutdownLog.signalled(at, guests.count(), open.size());
-        loop.at(at + SECOND, this::tellWhatIsOpen);
+    /** The process was told to end, and goes by this schedule. */
+    public void shutDown(ShutdownSchedule schedule) {
+        shutdownLog.signalled(schedule, guests.stages());
+        guests.shutDown(schedule, tick);
     }
 
     /** What happened since the signal to end. */
@@ -154,14 +152,6 @@
         guests.leave();
     }
 
-    /** Once a second until the end: what the shutdown waits for. */
-    private void tellWhatIsOpen() {
-        if (guests.count() > 0) {
-            Logger.info("shutdown: waits for connections by stage {}, {} RPCs open", guests.stages(), open.size());
-        }
-        loop.at(loop.now() + SECOND, this::tellWhatIsOpen);
-    }
-
     @Override
     public void drain(boolean isDrained) {
         guests.drain(isDrained);
--- a/src/main/java/honeygap/net/door/Visitor.java
+++ b/src/main/java/honeygap/net/door/Visitor.java
@@ -62,6 +62,17 @@
         return whole(503, "{\"error\":\"too many connections\"}".getBytes(StandardCharsets.US_ASCII), false);
     }
 
+    @Override
+    protected ByteBuffer shutdownWord() {
+        return whole(503, "{\"error\":\"shutting down\"}".getBytes(StandardCharsets.US_ASCII), false);
+    }
+
+    @Override
+    protected void giveUp() {
+        isAwaited = false;
+        end(shutdownWord());
+    }
+
     @Override
     protected void read() {
         try {
@@ -126,8 +137,10 @@
             @Override
             public void reply(int status, byte[] body) {
                 door.onLoop(() -> {
-                    isAwaited = false;
-                    answered(status, body, stays);
+                    if (isAwaited) {
+                        isAwaited = false;
+                        answered(status, body, stays);
+                    }
                 });
             }
 
--- a/src/main/java/honeygap/net/guests/Guest.java
+++ b/src/main/java/honeygap/net/guests/Guest.java
@@ -68,6 +68,12 @@
     /** The last word to a client that must make room. */
     protected abstract ByteBuffer tooManyWord();
 
+    /** The last word to a client whose request has not come whole when the agent ends. */
+    protected abstract ByteBuffer shutdownWord();
+
+    /** Answers the open RPC as failed: whoever should have answered has not. */
+    protected abstract void giveUp();
+
     /** How many bytes may wait behind an open RPC. */
     protected abstract int longest();
 
@@ -127,6 +133,7 @@
         gone = true;
         stage();
         guests.went(this);
+        guests.closed();
         leave();
     }
 
@@ -202,6 +209,15 @@
         return true;
     }
 
+    /** The agent ends: whatever is open or half read gets its last word now. */
+    final void endsNow() {
+        if (isAsking()) {
+            giveUp();
+        } else if (!writing && !ending) {
+            end(shutdownWord());
+        }
+    }
+
     /** Closes at once, with a last word where none is on its way. */
     final void drop(ByteBuffer last) {
         if (stage == Stage.UNREAD) {
@@ -216,6 +232,11 @@
         return waitsSince + GRACE < loop.now();
     }
 
+    /** Nothing has come from it yet that is kept. */
+    final boolean isSilent() {
+        return !isStarted() && !writing && !ending && waiting() == 0;
+    }
+
     /** Nothing taken is open here, and nothing half read. */
     final boolean isIdle() {
         return isStarted() && !isAsking() && !writing && !ending && waiting() == 0;
--- a/src/main/java/honeygap/net/guests/Guests.java
+++ b/src/main/java/honeygap/net/guests/Guests.java
@@ -4,6 +4,7 @@
 import honeygap.net.Loop;
 import honeygap.net.shutdown.ShutdownEvent;
 import honeygap.net.shutdown.ShutdownLog;
+import honeygap.rules.shutdown.ShutdownSchedule;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -29,7 +30,10 @@
     /** Those whose start, or the rest of whose message, is waited for; longest so first. */
     private final Set<Guest> waitedFor = new LinkedHashSet<>();
     private Loop.Timer sweep;
+    /** Connections that are here, or that are closed once all has been written to them. */
+    private int connected;
     private boolean leaving;
+    private boolean isShuttingDown;
     private boolean drained;
     private long tooLong;
     private long madeRoom;
@@ -50,8 +54,12 @@
      * against turning down those that came in the same moment and have not been read: they ask at once again.
      */
     void came(Guest guest) {
+        connected++;
         here.add(guest);
         waitedFor.add(guest);
+        if (leaving) {
+            closeAtLast(guest);
+        }
         while (here.size() > most) {
             Guest longest = waitedFor.iterator().next();
             if (!longest.isLate() && !idle.isEmpty()) {
@@ -82,6 +90,11 @@
         shutdownLog.connection(event, guest.age());
     }
 
+    /** A connection has gone. */
+    void closed() {
+        connected--;
+    }
+
     void went(Guest guest) {
         here.remove(guest);
         idle.remove(guest);
@@ -108,11 +121,20 @@
         drained = isDrained;
         if (isDrained) {
             leave();
-        } else {
+        } else if (!isShuttingDown) {
             leaving = false;
         }
     }
 
+    /**
+     * The process ends by this schedule: whatever is open when it should have been answered, a little after the rules had their say,
+     * gets its last word.
+     */
+    public void shutDown(ShutdownSchedule schedule, long tick) {
+        isShuttingDown = true;
+        loop.at(schedule.answersBy() + 2 * tick, () -> loop.post(() -> new ArrayList<>(here).forEach(Guest::endsNow)));
+    }
+
     void idle(Guest guest, boolean isIdle) {
         if (!isIdle || !here.contains(guest)) {
             idle.remove(guest);
@@ -153,9 +175,16 @@
     /** Guards against closing a connection that has just come and whose first RPC is on its way. */
     private void closeAtLast(Guest guest) {
         if (guest.hadItsTurn()) {
-            closeIdle(guest);
+            closeAtRest(guest);
         } else {
-            loop.at(guest.hasItsTurnAt(), () -> idle(guest, guest.isIdle()));
+            loop.at(guest.hasItsTurnAt(), () -> closeAtRest(guest));
+        }
+    }
+
+    /** One that has said nothing rests as well: its client is told by the close that nothing was taken. */
+    private void closeAtRest(Guest guest) {
+        if (leaving && here.contains(guest) && (guest.isIdle() || guest.isSilent())) {
+            closeIdle(guest);
         }
     }
 
@@ -170,9 +199,8 @@
     /** From now on connections are closed between RPCs. */
     public void leave() {
         leaving = true;
-        List<Guest> all = new ArrayList<>(idle);
         idle.clear();
-        all.forEach(this::closeAtLast);
+        new ArrayList<>(here).forEach(this::closeAtLast);
     }
 
     /** How many connections are in each stage. */
@@ -180,8 +208,9 @@
         return here.stream().collect(Collectors.groupingBy(Guest::waitsFor, TreeMap::new, Collectors.counting()));
     }
 
+    /** Connections, those included that are closed once all has been written to them. */
     public int count() {
-        return here.size();
+        return connected;
     }
 
     /** So many are let in: a few more than may stay, so that whoever makes room can be told. */
--- a/src/main/java/honeygap/net/pg/Words.java
+++ b/src/main/java/honeygap/net/pg/Words.java
@@ -12,6 +12,7 @@
     public static final int CANCEL = 80877102;
 
     public static final String TOO_MANY = "53300";
+    public static final String SHUTTING_DOWN = "57P03";
     public static final String GIVEN_UP = "58000";
     public static final String SYNTAX = "42601";
     public static final String PROTOCOL = "08P01";
--- a/src/main/java/honeygap/net/shutdown/ShutdownEvent.java
+++ b/src/main/java/honeygap/net/shutdown/ShutdownEvent.java
@@ -15,9 +15,7 @@
     /** The client left before the answer. */
     ABANDONED("abandoned by its client"),
     /** A connection was closed between RPCs. */
-    CLOSED("closed"),
-    /** A connection was closed with bytes that were not read. */
-    CLOSED_UNREAD("closed with bytes unread");
+    CLOSED("closed");
 
     /** How it is called in the log and among the counters. */
     public final String word;
--- a/src/main/java/honeygap/net/shutdown/ShutdownLog.java
+++ b/src/main/java/honeygap/net/shutdown/ShutdownLog.java
@@ -2,7 +2,9 @@
 
 import honeygap.net.Counters;
 import honeygap.net.Loop;
+import honeygap.rules.shutdown.ShutdownSchedule;
 import java.util.LinkedHashMap;
+import java.util.Locale;
 import java.util.Map;
 import org.tinylog.Logger;
 import org.tinylog.ThreadContext;
@@ -18,22 +20,23 @@
 
     private final Loop loop;
     private final LogBudget budget;
-    private final Map<ShutdownEvent, Long> counts = new LinkedHashMap<>();
-    private long signalledAt = Long.MAX_VALUE;
+    private final Map<String, Long> counts = new LinkedHashMap<>();
+    private ShutdownSchedule schedule;
 
     public ShutdownLog(Loop loop) {
         this.loop = loop;
         budget = new LogBudget(loop, LINES_PER_SECOND);
     }
 
-    /** The signal came then, with so many connections and RPCs open. */
-    public void signalled(long at, int connections, int openRpcs) {
-        signalledAt = at;
-        Logger.info("shutdown: signal heard, {} connections, {} RPCs open", connections, openRpcs);
+    /** The process was told to end; connections by stage are open. */
+    public void signalled(ShutdownSchedule told, Map<String, Long> connections) {
+        schedule = told;
+        Logger.info("shutdown: signal heard, connections by stage {}; closing after {} ms, answers by {} ms, end by {} ms", connections,
+                sinceSignal(told.closesAt()), sinceSignal(told.answersBy()), sinceSignal(told.endsBy()));
     }
 
-    public boolean isSignalled() {
-        return signalledAt != Long.MAX_VALUE;
+    private boolean isSignalled() {
+        return schedule != null;
     }
 
     /** Something happened to an RPC; nothing is noted before the signal. Times are tenths of a millisecond. */
@@ -47,7 +50,7 @@
         ThreadContext.put("left_ms", Long.toString(timeLeft / TENTHS_A_MS));
         try {
             Logger.info("shutdown: RPC {} ({}) {} {} ms after the signal, {} ms left, on a connection {} ms old", id, method,
-                    event.word, sinceSignal(), timeLeft / TENTHS_A_MS, connectionAge / TENTHS_A_MS);
+                    event.word, sinceSignal(loop.clock()), timeLeft / TENTHS_A_MS, connectionAge / TENTHS_A_MS);
         } finally {
             ThreadContext.remove("event");
             ThreadContext.remove("rpc");
@@ -59,23 +62,24 @@
     /** Something happened to a connection; nothing is noted before the signal. */
     public void connection(ShutdownEvent event, long age) {
         if (isSignalled() && counted(event)) {
-            Logger.info("shutdown: connection {} {} ms after the signal, {} ms old", event.word, sinceSignal(), age / TENTHS_A_MS);
+            Logger.info("shutdown: connection {} {} ms after the signal, {} ms old", event.word, sinceSignal(loop.clock()), age / TENTHS_A_MS);
         }
     }
 
     /** Counts it; whether it may be logged as well. */
     private boolean counted(ShutdownEvent event) {
-        counts.merge(event, 1L, Long::sum);
+        String phase = schedule.phase(loop.clock()).name().toLowerCase(Locale.ROOT);
+        counts.merge(event.word + " while " + phase, 1L, Long::sum);
         return budget.allows();
     }
 
-    private long sinceSignal() {
-        return (loop.clock() - signalledAt) / TENTHS_A_MS;
+    private long sinceSignal(long time) {
+        return (time - schedule.signalledAt()) / TENTHS_A_MS;
     }
 
     @Override
     public void report(Counters counters) {
-        counts.forEach((event, many) -> counters.count(event.word, many));
+        counts.forEach(counters::count);
         counters.count("lines left out", budget.leftOut());
     }
 }
--- a/src/main/java/honeygap/rules/routing/Repeats.java
+++ b/src/main/java/honeygap/rules/routing/Repeats.java
@@ -2,10 +2,11 @@
 
 import honeygap.fleet.*;
 import honeygap.rules.health.Health;
+import honeygap.rules.shutdown.Shutdown;
 import honeygap.rules.work.Work;
 
 /** May an RPC be sent again, where, and how long may each pick take? */
-public record Repeats(Fleet fleet, int most) {
+public record Repeats(Fleet fleet, Shutdown shutdown, int most) {
 
     /** Further picks after ones that may have run, as a share of the RPCs taken: they must not feed a jam. */
     private static final double FURTHER_SHARE = 0.1;
@@ -33,7 +34,7 @@
 
     /** Is there time and leave for a pick now, where this earlier one may have run? */
     public boolean mayTry(Rpc rpc, Pick mayRun) {
-        return fleet.now < rpc.deadline - 2 * fleet.tick && rpc.picks.size() < most
+        return fleet.now < shutdown.deadline(rpc) - 2 * fleet.tick && rpc.picks.size() < most
                 && (mayRun == null || mayFollow(rpc.method) && !Health.hopeless(rpc.tenant));
     }
 
@@ -59,7 +60,7 @@
 
     /** How long a pick may take: under the deadline only where another may follow and still be in time. */
     public long within(Rpc rpc, boolean young) {
-        long left = Math.max(1, rpc.deadline - fleet.now);
+        long left = Math.max(1, shutdown.deadline(rpc) - fleet.now);
         Method method = rpc.method;
         long soft = rpc.takenAt + method.softDeadline - fleet.now;
         // Few and cold, the appliances of a new build are slow at first: giving up early would convict it.
--- /dev/null
+++ b/src/main/java/honeygap/rules/shutdown/ShutdownSchedule.java
@@ -0,0 +1,36 @@
+package honeygap.rules.shutdown;
+
+/**
+ * When a process that was told to end does what, worked out once, when the signal comes. Times are monotonic, in tenths of a
+ * millisecond.
+ *
+ * @param signalledAt when the signal came
+ * @param closesAt from then on no connection is accepted, and each is closed when it rests
+ * @param answersBy the shutdown deadline: every RPC has its final answer by then
+ * @param endsBy the process ends by then, whatever is open
+ */
+public record ShutdownSchedule(long signalledAt, long closesAt, long answersBy, long endsBy) {
+
+    /** The operators kill a process at the earliest so long after the signal, beyond the longest deadline of all methods. */
+    private static final long GRACE = 7_000;
+    /** The longest deadline that they count; a longer one counts as this. */
+    private static final long LONGEST_COUNTED = 30_000;
+    /** A process may be held up for so long between reading its clock and writing. */
+    private static final long HELD_UP_MOST = 1_500;
+    /** What the end itself takes: the shutdown hook, the last lines of the log, the recorder's last block, the runtime. */
+    private static final long OWN_END = 1_000;
+    /** What a client may take to read the last answer before its connection ends. */
+    private static final long LAST_READ = 1_000;
+
+    /** By the longest deadline of all methods. */
+    public static ShutdownSchedule of(long signalledAt, long longestDeadline) {
+        long killedAt = signalledAt + GRACE + Math.min(LONGEST_COUNTED, longestDeadline);
+        long endsBy = killedAt - HELD_UP_MOST - OWN_END;
+        long answersBy = endsBy - LAST_READ;
+        return new ShutdownSchedule(signalledAt, Math.min(signalledAt + GRACE, answersBy), answersBy, endsBy);
+    }
+
+    public ShutdownPhase phase(long now) {
+        return now < closesAt ? ShutdownPhase.DRAINING : now < answersBy ? ShutdownPhase.CLOSING : ShutdownPhase.ENDED;
+    }
+}
--- a/src/test/java/honeygap/ArchitectureTest.java
+++ b/src/test/java/honeygap/ArchitectureTest.java
@@ -36,7 +36,7 @@
     /** The fit knows nothing of routing, routing reads posterior and room, votes read the fit. */
     @Test
     void modulesPointOneWay() {
-        String[] order = {"fit", "work", "health", "cold", "builds", "room", "evidence", "votes", "routing"};
+        String[] order = {"fit", "work", "health", "cold", "builds", "room", "evidence", "votes", "shutdown", "routing"};
         for (int i = 0; i < order.length; i++) {
             for (int later = i + 1; later < order.length; later++) {
                 none("honeygap.rules." + order[i] + "..", "honeygap.rules." + order[later] + "..").check(ALL);
