--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -19,6 +19,7 @@
     private static final long REPORT = 100_000;
     private static final long LOOK_EVERY = 100;
     private static final long MICROSECONDS_A_TENTH = 100;
+    private static final long CLOSING_MOST_MS = 50;
     private static final int LISTEN_TRIES = 20;
     private static final long LISTEN_PAUSE_MS = 50;
 
@@ -224,6 +225,18 @@
         if (!ended.await((schedule.endsBy() - loop.clock()) * MICROSECONDS_A_TENTH, TimeUnit.MICROSECONDS)) {
             Logger.warn("shutdown: ends with {} connections open", connections);
         }
+        endThreads();
+    }
+
+    /**
+     * Guards against a slow end: the runtime waits 0.3 s for threads that are in a system call, as those at sockets always are. Not
+     * for ever, where one of them is held up.
+     */
+    private void endThreads() throws InterruptedException {
+        Thread closing = new Thread(loop::end, "closing");
+        closing.setDaemon(true);
+        closing.start();
+        closing.join(CLOSING_MOST_MS);
     }
 
     private void shutDown(ShutdownSchedule schedule) {
--- a/src/main/java/honeygap/net/links/Link.java
+++ b/src/main/java/honeygap/net/links/Link.java
@@ -174,10 +174,10 @@
         end(handedOver ? Pick.TIMEOUT : Pick.CONNECT_FAILED);
     }
 
-    /** Stops waiting for the pick on it. */
+    /** Stops waiting for the pick on it; one that was not handed over never ran. */
     final void cancel(Call call, int index) {
         if (this.call == call && this.index == index) {
-            end(Pick.CANCELLED);
+            end(handedOver ? Pick.CANCELLED : Pick.MOOT);
         }
     }
 
--- a/src/test/java/honeygap/Agency.java
+++ b/src/test/java/honeygap/Agency.java
@@ -32,6 +32,8 @@
     final Rules rules;
     long now = 100 * SECOND;
     Tenant tenant = new Tenant();
+    /** How long the last pick may take. */
+    long within;
     private int rpcs;
 
     Agency(long seed, int agents, Tries tries, Listing listing, Desk desk,
@@ -139,6 +141,7 @@
     @Override
     public void pick(Rpc rpc, Appliance appliance, long within) {
         sent.add(rpc);
+        this.within = within;
         said.add("pick" + appliance.id);
     }
 
