--- a/src/main/java/honeygap/Rules.java
+++ b/src/main/java/honeygap/Rules.java
@@ -265,8 +265,12 @@
     /** Decides about an RPC that has no pick out; false when it is held. */
     private boolean decide(Rpc rpc, Ctl ctl) {
         Pick mayRun = Repeats.firstThatMayRun(rpc);
-        if (shutdown.refuses(rpc) || !repeats.mayTry(rpc, mayRun)) {
-            return finish(rpc, mayRun, ctl);
+        if (shutdown.refuses(rpc)) {
+            return finish(rpc, mayRun, GivenUp.SHUTTING_DOWN, ctl);
+        }
+        GivenUp why = repeats.mayNotTry(rpc, mayRun);
+        if (why != null) {
+            return finish(rpc, mayRun, why, ctl);
         }
         // Where one without ties found no place in this turn, nor will the next: many may be held, and often.
         boolean isFree = rpc.picks.isEmpty() && !fleet.isMet(rpc.key);
@@ -277,15 +281,16 @@
             return true;
         }
         if (mayRun != null || fleet.now >= rpc.takenAt + HELD * rpc.method.softDeadline) {
-            return finish(rpc, mayRun, ctl);
+            return finish(rpc, mayRun, lease.covered() == 0 ? GivenUp.NONE_KNOWN : GivenUp.NO_ROOM, ctl);
         }
         held.addLast(rpc);
         return false;
     }
 
     /** The final answer for an RPC that is given up: pushed back where the rules allow, or else aborted. */
-    private boolean finish(Rpc rpc, Pick mayRun, Ctl ctl) {
+    private boolean finish(Rpc rpc, Pick mayRun, GivenUp why, Ctl ctl) {
         rpc.closed = true;
+        rpc.givenUp = why;
         if (Repeats.isHarmless(rpc.method, mayRun) && fleet.now < rpc.deadline) {
             long most = tries.stayAwayHeard() ? tries.stayAwayMost() : 0;
             ctl.pushBack(rpc, Math.min(most, rpc.method.softDeadline));
--- a/src/main/java/honeygap/fleet/Rpc.java
+++ b/src/main/java/honeygap/fleet/Rpc.java
@@ -22,6 +22,8 @@
     /** Picks whose outcome is still to come. */
     public int out;
     public boolean closed;
+    /** Why it was refused or failed; null where it was not. */
+    public GivenUp givenUp;
     /** The draw of theta said the build on trial; one draw an RPC. */
     public boolean drawn;
     public boolean drawnNew;
--- a/src/main/java/honeygap/net/Events.java
+++ b/src/main/java/honeygap/net/Events.java
@@ -51,6 +51,19 @@
         }
     }
 
+    /** An RPC was refused or failed, for this reason; the appliance is that of its last pick, -1 where it had none. */
+    public static void givenUp(String rpc, String method, String reason, long appliance, long leftMs, String words) {
+        Map<String, String> fields = Map.of("event", "given up", "rpc", rpc, "method", method, "reason", reason, "appliance",
+                String.valueOf(appliance), "left_ms", String.valueOf(leftMs));
+        fields.forEach(ThreadContext::put);
+        try {
+            Logger.info("RPC {} ({}) given up: {}, last pick at appliance {}, {} ms left; {}", rpc, method, reason, appliance,
+                    leftMs, words);
+        } finally {
+            fields.keySet().forEach(ThreadContext::remove);
+        }
+    }
+
     private static String json(Counters counters) {
         StringWriter words = new StringWriter();
         try (JsonGenerator out = JSON.createGenerator(words)) {
--- a/src/main/java/honeygap/net/shutdown/LogBudget.java
+++ b/src/main/java/honeygap/net/LogBudget.java
@@ -1,9 +1,7 @@
-package honeygap.net.shutdown;
-
-import honeygap.net.Loop;
+package honeygap.net;
 
 /** Bounds the log lines of one kind of event to a number a second; lines beyond it are counted. */
-final class LogBudget {
+public final class LogBudget {
 
     private static final long SECOND = 10_000;
 
@@ -13,13 +11,13 @@
     private int lines;
     private long leftOut;
 
-    LogBudget(Loop loop, int linesPerSecond) {
+    public LogBudget(Loop loop, int linesPerSecond) {
         this.loop = loop;
         this.linesPerSecond = linesPerSecond;
     }
 
     /** Whether one more line may be written now; counted either way. */
-    boolean allows() {
+    public boolean allows() {
         if (loop.now() >= secondBegan + SECOND) {
             secondBegan = loop.now();
             lines = 0;
@@ -32,7 +30,8 @@
         return false;
     }
 
-    long leftOut() {
+    /** Lines that were left out so far. */
+    public long leftOut() {
         return leftOut;
     }
 }
--- a/src/main/java/honeygap/net/clients/Client.java
+++ b/src/main/java/honeygap/net/clients/Client.java
@@ -182,6 +182,7 @@
     @Override
     public void pushBack(long stayAwayMs) {
         all.shutdown(ShutdownEvent.REFUSED, call, this);
+        all.givenUp(call);
         all.pushedBack();
         finish(Words.error(Words.TOO_MANY, "pushed back, trying again is harmless", stayAwayMs));
     }
@@ -189,6 +190,7 @@
     @Override
     public void abort() {
         all.shutdown(ShutdownEvent.FAILED, call, this);
+        all.givenUp(call);
         finish(Words.error(Words.GIVEN_UP, "aborted", 0));
     }
 
--- a/src/main/java/honeygap/net/clients/Clients.java
+++ b/src/main/java/honeygap/net/clients/Clients.java
@@ -1,10 +1,14 @@
 package honeygap.net.clients;
 
 import honeygap.Rules;
+import honeygap.fleet.GivenUp;
 import honeygap.fleet.Method;
+import honeygap.fleet.Pick;
 import honeygap.fleet.Tenant;
 import honeygap.net.Counters;
+import honeygap.net.Events;
 import honeygap.net.Front;
+import honeygap.net.LogBudget;
 import honeygap.net.Loop;
 import honeygap.net.Peer;
 import honeygap.net.guests.Guests;
@@ -16,6 +20,7 @@
 import honeygap.read.Fields;
 import honeygap.read.Malformed;
 import honeygap.rules.shutdown.ShutdownSchedule;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -24,6 +29,9 @@
 
     /** The protocol lets a connection go that has had no open RPC for so long. */
     private static final long KEPT = 20_000;
+    /** Log lines a second at most on RPCs that were refused or failed. */
+    private static final int GIVEN_UP_LINES = 2;
+    private static final long TENTHS_A_MS = 10;
 
     final Loop loop;
     private final Rules rules;
@@ -42,6 +50,8 @@
     final Statement statement = new Statement();
     private final Map<Method, String> names = new HashMap<>();
     private final ShutdownLog shutdownLog;
+    private final LogBudget givenUpLines;
+    private final Map<GivenUp, Long> givenUp = new EnumMap<>(GivenUp.class);
 
     /** Methods and customers by the names of their lists; above a crowd idle ones go; most is the limit. */
     public Clients(Loop loop, Rules rules, Map<String, Method> methods, Fields info,
@@ -51,6 +61,7 @@
         this.methods = methods;
         methods.forEach((name, method) -> names.put(method, name));
         shutdownLog = new ShutdownLog(loop);
+        givenUpLines = new LogBudget(loop, GIVEN_UP_LINES);
         guests = new Guests(loop, most, crowd, KEPT, shutdownLog);
         tick = Math.max(1, info.tenths("TickNs"));
         mostOpen = info.part("Ceilings").index("MaxOpen", Integer.MAX_VALUE);
@@ -111,6 +122,20 @@
         }
     }
 
+    /** An RPC was refused or failed: counted by its reason, and told with what was known of the appliances. */
+    void givenUp(Query call) {
+        if (call.givenUp == null) {
+            return;
+        }
+        givenUp.merge(call.givenUp, 1L, Long::sum);
+        if (givenUpLines.allows()) {
+            Pick last = call.picks.isEmpty() ? null : call.picks.get(call.picks.size() - 1);
+            Events.givenUp(call.id, names.get(call.method), call.givenUp.word, last == null ? -1 : last.appliance.id,
+                    (call.deadline - loop.clock()) / TENTHS_A_MS, "list confirmed " + rules.listAge() / TENTHS_A_MS
+                            + " ms ago, " + rules.covered() + " appliances known to serve");
+        }
+    }
+
     /** Notes what happened to an RPC, where the process has been told to end. */
     void shutdown(ShutdownEvent event, Query call, Client client) {
         shutdownLog.rpc(event, call.id, names.get(call.method), client.age(), call.deadline - loop.clock());
@@ -176,5 +201,7 @@
         counters.count("open ids", twice);
         counters.count("pushed back", pushedBack);
         counters.count("rescued", rescued);
+        givenUp.forEach((why, many) -> counters.count("given up: " + why.word, many));
+        counters.count("given up, lines left out", givenUpLines.leftOut());
     }
 }
--- a/src/main/java/honeygap/net/shutdown/ShutdownLog.java
+++ b/src/main/java/honeygap/net/shutdown/ShutdownLog.java
@@ -1,6 +1,7 @@
 package honeygap.net.shutdown;
 
 import honeygap.net.Counters;
+import honeygap.net.LogBudget;
 import honeygap.net.Loop;
 import honeygap.rules.shutdown.ShutdownSchedule;
 import java.util.LinkedHashMap;
--- a/src/main/java/honeygap/rules/routing/Repeats.java
+++ b/src/main/java/honeygap/rules/routing/Repeats.java
@@ -32,10 +32,16 @@
                 && pick.outcome != Pick.CONNECT_FAILED).findFirst().orElse(null);
     }
 
-    /** Is there time and leave for a pick now, where this earlier one may have run? */
-    public boolean mayTry(Rpc rpc, Pick mayRun) {
-        return fleet.now < shutdown.deadline(rpc) - 2 * fleet.tick && rpc.picks.size() < most
-                && (mayRun == null || mayFollow(rpc.method) && !Health.hopeless(rpc.tenant));
+    /** Why there is no time or leave for a pick now, where this earlier one may have run; null where there is. */
+    public GivenUp mayNotTry(Rpc rpc, Pick mayRun) {
+        if (fleet.now >= shutdown.deadline(rpc) - 2 * fleet.tick) {
+            return GivenUp.OUT_OF_TIME;
+        }
+        if (rpc.picks.size() >= most) {
+            return GivenUp.OUT_OF_TRIES;
+        }
+        boolean mayFollow = mayRun == null || mayFollow(rpc.method) && !Health.hopeless(rpc.tenant);
+        return mayFollow ? null : GivenUp.MAY_HAVE_RUN;
     }
 
     private boolean mayFollow(Method method) {
