The loop ends a shutdown after its last answers, held up or not; tests of related paths

Cause: Agent.leave ended the process by its own thread's clock at the schedule's end; held up for 0.15 s across the shutdown deadline the loop had its answers still to give (KilledAfterSignalTest.heldUpAtTheDeadline, red before). Now the loop ends it in the turn after; the thread does only where the loop is held up for longer than it must bear. Also: a crowd closes only those that have been served at the soft limit, and shown to hold: unread answers, a reset behind an answer, drain and undrain around the signal, the flag API.

--- a/src/main/java/honeygap/lab/soak/SoakAgent.java
+++ b/src/main/java/honeygap/lab/soak/SoakAgent.java
@@ -78,6 +78,8 @@
         startedAt = record.now();
         toldToEndAt = Long.MAX_VALUE;
         process = builder.start();
+        // Also where this process is told to end in the middle of a run.
+        Runtime.getRuntime().addShutdownHook(new Thread(process.toHandle()::destroyForcibly));
         CompletableFuture<Void> ready = new CompletableFuture<>();
         Process mine = process;
         StandInThread.start("log of agent " + number, () -> read(mine, ready));
--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -34,8 +34,6 @@
     private boolean isLeaving;
     private final Object rereading = new Object();
     private boolean isDrained;
-    /** Open at the last look, for the log line of the end. */
-    private volatile int connections;
     private long rereads;
     private long unread;
 
@@ -221,9 +219,10 @@
         long longest = protocols.stream().mapToLong(Protocol::longestDeadline).max().orElse(0);
         ShutdownSchedule schedule = ShutdownSchedule.of(signalledAt, longest);
         loop.post(() -> shutDown(schedule));
-        // By this thread's own clock: a loop that is held up must not hold up the end.
-        if (!ended.await((schedule.endsBy() - loop.clock()) * MICROSECONDS_A_TENTH, TimeUnit.MICROSECONDS)) {
-            Logger.warn("shutdown: ends with {} connections open", connections);
+        // The loop ends it, after its last answers. A loop that is held up for longer than it must bear does not hold up the end.
+        long left = schedule.lastMoment() - loop.clock();
+        if (!ended.await(left * MICROSECONDS_A_TENTH, TimeUnit.MICROSECONDS)) {
+            Logger.warn("shutdown: ends while the loop is held up");
         }
         endThreads();
     }
@@ -246,13 +245,14 @@
             protocols.forEach(Protocol::leave);
             // Not before the next turn: what was accepted last is here by then.
             loop.shut(schedule.answersBy(), () -> loop.at(loop.now() + LOOK_EVERY, this::endWhenDone));
-            loop.at(loop.now() + LOOK_EVERY, this::countConnections);
         });
-    }
-
-    private void countConnections() {
-        connections = clients();
-        loop.at(loop.now() + LOOK_EVERY, this::countConnections);
+        // Not in the turn in which it is due: where the loop was held up its last answers are written only after that one.
+        loop.at(schedule.endsBy(), () -> loop.at(loop.now() + LOOK_EVERY, () -> {
+            if (ended.getCount() > 0) {
+                Logger.warn("shutdown: ends with {} connections open", clients());
+                ended.countDown();
+            }
+        }));
     }
 
     /** Guards against ending with a connection that this machine has accepted and the loop has not seen. */
--- a/src/main/java/honeygap/net/guests/Guests.java
+++ b/src/main/java/honeygap/net/guests/Guests.java
@@ -63,9 +63,9 @@
         }
         while (here.size() > most) {
             Guest longest = waitedFor.iterator().next();
-            if (!longest.isLate()) {
-                // Never one that has just come: its first RPC may be one that another close has crossed, and is not sent a third time.
-                longest = longestIdle().orElse(guest);
+            if (!longest.isLate() && !idle.isEmpty()) {
+                // One that has just come goes last: its first RPC may be one that another close has crossed, and is not sent a third time.
+                longest = longestIdle().orElse(idle.iterator().next());
             }
             if (longest == guest) {
                 return;
@@ -155,8 +155,8 @@
             }
             if (here.size() > crowd) {
                 // Guards against clients that ask once a connection: they may open no more until some go. One that has
-                // just come is spared: its first RPC is on its way.
-                longestIdle().ifPresent(longest -> {
+                // not asked yet is spared: its first RPC may be on its way, and may be one that another close has crossed.
+                idle.stream().filter(Guest::hasBeenServed).findFirst().ifPresent(longest -> {
                     crowded++;
                     closeIdle(longest);
                 });
--- a/src/main/java/honeygap/net/shutdown/ShutdownLog.java
+++ b/src/main/java/honeygap/net/shutdown/ShutdownLog.java
@@ -80,6 +80,7 @@
 
     @Override
     public void report(Counters counters) {
+        counters.count("signalled", isSignalled() ? 1 : 0);
         counts.forEach(counters::count);
         counters.count("lines left out", budget.leftOut());
     }
--- a/src/main/java/honeygap/rules/shutdown/ShutdownSchedule.java
+++ b/src/main/java/honeygap/rules/shutdown/ShutdownSchedule.java
@@ -30,6 +30,11 @@
         return new ShutdownSchedule(signalledAt, Math.min(signalledAt + GRACE, answersBy), answersBy, endsBy);
     }
 
+    /** When the process ends though its last answers may not have been written, since it was held up. */
+    public long lastMoment() {
+        return endsBy + HELD_UP_MOST;
+    }
+
     public ShutdownPhase phase(long now) {
         return now < closesAt ? ShutdownPhase.DRAINING : now < answersBy ? ShutdownPhase.CLOSING : ShutdownPhase.ENDED;
     }
--- a/src/test/java/honeygap/cli/KilledAfterSignalTest.java
+++ b/src/test/java/honeygap/cli/KilledAfterSignalTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.net.ServerSocket;
@@ -14,10 +15,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Agents that were told to end took RPCs seconds later, sent them on at once and waited for appliances that were still at work when
@@ -95,6 +98,42 @@
         assertEquals(List.of(), unanswered, () -> String.join("\n", agent.log));
     }
 
+    /** Held up for as long as it must bear, across the shutdown deadline: what is open is answered before the kill. */
+    @Test
+    void heldUpAtTheDeadline() throws Exception {
+        startAgent(5000);
+        AgentProcess.Client client = client();
+        client.send("open", 4900);
+        appliance.awaitRequests(1);
+        signalledAt = System.nanoTime();
+        agent.signal("TERM");
+        sleepUntil(3300);
+        agent.signal("STOP");
+        sleepUntil(3450);
+        agent.signal("CONT");
+        CompletableFuture<List<String>> hearing = CompletableFuture.supplyAsync(client::unanswered);
+        sleepUntil(3700);
+        agent.kill();
+        List<String> unanswered = hearing.get(20, TimeUnit.SECONDS);
+        agent.ended();
+        assertEquals(List.of(), unanswered, () -> String.join("\n", agent.log));
+    }
+
+    /** With nothing open it has ended by itself long before, and so it has where it was told to more than once. */
+    @ParameterizedTest
+    @ValueSource(strings = {"TERM", "TERM TERM HUP TERM"})
+    void endsByItself(String signals) throws Exception {
+        startAgent(3000);
+        signalledAt = System.nanoTime();
+        for (String signal : signals.split(" ")) {
+            agent.signal(signal);
+        }
+        assertEquals(143, agent.ended());
+        long tookMs = (System.nanoTime() - signalledAt) / 1_000_000;
+        assertTrue(tookMs < 3700, "ended after " + tookMs + " ms");
+        assertTrue(agent.log.stream().anyMatch(line -> line.contains("shutdown: ends, nothing open")), agent.log.toString());
+    }
+
     private interface Step {
 
         void run() throws IOException;
--- a/src/test/java/honeygap/net/FlagsTest.java
+++ b/src/test/java/honeygap/net/FlagsTest.java
@@ -638,6 +638,31 @@
         }
     }
 
+    /** Told to end: evaluations that servers don't answer, and bodies that come half, have their last word by the shutdown deadline. */
+    @Test
+    void shutdown() throws Exception {
+        Scripted server = new Scripted("silent");
+        start("'methods':{'one':{'aim':'4s','deadline':'5s'},'all':{'aim':'4s','deadline':'5s'},'track':{'deadline':'5s'},"
+                + "'tracked':{'deadline':'5s','window':'300ms'}},", server("s", server.address(), 1, "up"));
+        Caller asking = new Caller();
+        asking.socket.getOutputStream().write(Http.post("/ofrep/v1/evaluate/flags/a", "", "{\"context\":{}}")
+                .getBytes(StandardCharsets.US_ASCII));
+        server.heard.take();
+        String request = Http.post("/ofrep/v1/evaluate/flags/a", "", "{\"context\":{}}");
+        Caller half = new Caller();
+        half.socket.getOutputStream().write(request.substring(0, request.length() - 5).getBytes(StandardCharsets.US_ASCII));
+        Caller silent = new Caller();
+        long since = System.nanoTime();
+        agent.leave();
+        long tookMs = (System.nanoTime() - since) / 1_000_000;
+        assertTrue(tookMs < 3700, "over after " + tookMs + " ms");
+        String answer = asking.hear();
+        assertTrue(answer.startsWith("429") || answer.startsWith("500"), answer);
+        String last = half.hear();
+        assertTrue(last.startsWith("503") || last.startsWith("408"), last);
+        assertEquals("end", silent.hear());
+    }
+
     /** Leave to send a body is given; what is too long is turned down before it is sent. */
     @Test
     void leaveToSend() throws Exception {
--- a/src/test/java/honeygap/net/ShutdownTest.java
+++ b/src/test/java/honeygap/net/ShutdownTest.java
@@ -155,6 +155,68 @@
         assertEquals("end", caller.hear());
     }
 
+    /** An answer that was written is read, though the close behind it leaves a request unread and resets the connection. */
+    @Test
+    void answerBeforeAReset() throws Exception {
+        Fleet fleet = new Fleet("ok");
+        start(fleet);
+        Caller caller = new Caller().hello();
+        caller.out.write(query(statement("first", "assign", 900)));
+        await("links", "ok", 1);
+        await("clients", "idle", 1);
+        new Hold(() -> {
+            queries.leave();
+            try {
+                caller.out.write(query(statement("second", "assign", 900)));
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        }).close();
+        await("clients", "here", 0);
+        assertEquals("ok:v1", caller.hear());
+        assertEquals("end", caller.hear());
+        assertEquals(1, fleet.heard.size());
+    }
+
+    /** A client that reads nothing of an answer larger than the sockets' buffers holds up no end. */
+    @Test
+    void unreadAnswer() throws Exception {
+        Fleet fleet = new Fleet("ok");
+        fleet.value = "v".repeat(60_000);
+        start(fleet);
+        Caller caller = new Caller().hello();
+        byte[] request = query(statement("unread", "read", 2900));
+        for (int i = 0; i < 60; i++) {
+            caller.out.write(request);
+        }
+        while (fleet.heard.isEmpty()) {
+            Thread.onSpinWait();
+        }
+        long since = System.nanoTime();
+        beginLeaving(fleet);
+        left.get(10, TimeUnit.SECONDS);
+        long tookMs = (System.nanoTime() - since) / 1_000_000;
+        assertTrue(tookMs < 3700, "over after " + tookMs + " ms");
+    }
+
+    /** Drained, told to end and undrained: it ends all the same, and takes nobody. */
+    @Test
+    void drainedAndUndrained() throws Exception {
+        Fleet fleet = new Fleet("ok");
+        start(fleet);
+        Caller resting = new Caller().hello();
+        assertEquals("ok:v1", resting.ask("read", 900));
+        new Hold(() -> agent.drain(true)).close();
+        assertEquals("end", resting.hear());
+        beginLeaving(fleet);
+        await("shutdown", "signalled", 1);
+        new Hold(() -> agent.drain(false)).close();
+        Caller late = new Caller().hello();
+        assertEquals("ok:v1", late.ask("read", 900));
+        assertEquals("end", late.hear());
+        left.get(10, TimeUnit.SECONDS);
+    }
+
     /** One that has been accepted and not seen when the agent finds nobody here is served before the end. */
     @Test
     void acceptedAtTheEnd() throws Exception {
