--- a/src/main/java/honeygap/net/Acceptor.java
+++ b/src/main/java/honeygap/net/Acceptor.java
@@ -47,9 +47,11 @@
 
     @Override
     protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel handle) throws Exception {
-        if (!places.tryAcquire(PLACE_WAIT_MS, TimeUnit.MILLISECONDS)) {
-            return null;
-        }
+        return places.tryAcquire(PLACE_WAIT_MS, TimeUnit.MILLISECONDS) ? acceptInPlace(processor, handle) : null;
+    }
+
+    /** Accepts a connection for a place that has been taken; gives the place back where there is none. */
+    private NioSession acceptInPlace(IoProcessor<NioSession> processor, ServerSocketChannel handle) throws Exception {
         NioSession session = null;
         try {
             session = call(processor, handle);
@@ -60,10 +62,6 @@
                 places.release();
             }
         }
-        return placed(session);
-    }
-
-    private NioSession placed(NioSession session) {
         if (session != null) {
             unseen.incrementAndGet();
             // Closed is not gone: the system's descriptor is let go of when the loop selects the next time.
@@ -112,18 +110,9 @@
         if (left <= 0 || !places.tryAcquire(left, TimeUnit.NANOSECONDS)) {
             return false;
         }
-        NioSession session = null;
-        try {
-            session = call(pool, handle);
-        } catch (IOException e) {
-            failed(e);
-        } finally {
-            if (session == null) {
-                places.release();
-            }
-        }
+        NioSession session = acceptInPlace(pool, handle);
         if (session != null) {
-            initSession(placed(session), null, null);
+            initSession(session, null, null);
             session.getProcessor().add(session);
         }
         return true;
--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -54,7 +54,7 @@
             loop.post(this::openWhenReady);
             loop.start(protocols.stream().flatMap(protocol -> protocol.cores().stream()).toArray(Loop.Core[]::new));
         }
-        awaitOpening();
+        unlessInterrupted(opens::await);
         synchronized (this) {
             if (isLeaving) {
                 return;
@@ -77,14 +77,19 @@
                     throw e;
                 }
                 Logger.warn("can't listen yet, tried again: {}", e.getMessage());
-                pause(LISTEN_PAUSE_MS);
+                unlessInterrupted(() -> Thread.sleep(LISTEN_PAUSE_MS));
             }
         }
     }
 
-    private static void pause(long ms) throws IOException {
+    private interface Wait {
+
+        void await() throws InterruptedException;
+    }
+
+    private static void unlessInterrupted(Wait wait) throws IOException {
         try {
-            Thread.sleep(ms);
+            wait.await();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted before the start", e);
@@ -99,15 +104,6 @@
         }
     }
 
-    private void awaitOpening() throws IOException {
-        try {
-            opens.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IOException("interrupted before the start", e);
-        }
-    }
-
     /** Where the protocol of this number takes clients. */
     public InetSocketAddress address(int protocol) {
         return bound.get(protocol);
--- a/src/main/java/honeygap/net/guests/Guest.java
+++ b/src/main/java/honeygap/net/guests/Guest.java
@@ -19,6 +19,8 @@
     /** The same where it has asked before, or has much to send. */
     private static final long OWED_LATER = 2 * OWED;
     private static final long GRACE = OWED / 20;
+    /** A connection that has just come is owed so long for its first RPC; its client may be held up as well. */
+    private static final long FIRST_RPC_WITHIN = OWED / 6;
 
     /** What a connection waits for. */
     private enum Stage { NEW, START, REST, HALF, ANSWER, UNREAD }
@@ -180,7 +182,7 @@
 
     /** It has asked, or has had time to: one that has just come sends its first RPC yet. */
     final boolean hadItsTurn() {
-        return hasAsked || loop.now() >= cameAt + GRACE;
+        return hasAsked || loop.now() >= hasItsTurnAt();
     }
 
     /** What it waits for, in small letters. */
@@ -195,7 +197,7 @@
 
     /** When at the latest it has had its turn. */
     final long hasItsTurnAt() {
-        return cameAt + GRACE;
+        return cameAt + FIRST_RPC_WITHIN;
     }
 
     /**
--- a/src/test/java/honeygap/cli/AgentProcess.java
+++ b/src/test/java/honeygap/cli/AgentProcess.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.OutputStream;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -78,6 +79,13 @@
         }
     }
 
+    /** A port on which nobody listens now. */
+    static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
     /** A configuration that has one appliance, one method and a list and desk at these addresses. */
     static String config(int port, int appliance, int list, int sockets) {
         return config(port, List.of(appliance), list, sockets, 3000);
