--- a/src/main/java/honeygap/net/guests/Guest.java
+++ b/src/main/java/honeygap/net/guests/Guest.java
@@ -34,6 +34,7 @@
     private boolean gone;
     private Stage stage = Stage.NEW;
     private long cameAt;
+    private long owedSince;
     private long waitsSince;
     /** Kept by the one that closes clients idle for long. */
     long idleSince;
@@ -95,7 +96,9 @@
     @Override
     public final void opened(IoSession session) {
         this.session = session;
-        // By the clock: the turn before what comes in may be long ago, where little came or the process stood still.
+        // It came at some time since the last turn began, which may be long ago where little came or the process stood still:
+        // what it is owed in time counts from then, what it is given time for from now.
+        owedSince = loop.now();
         cameAt = loop.clock();
         guests.noted(ShutdownEvent.ACCEPTED, this);
         stage();
@@ -164,7 +167,7 @@
         }
         if (next != Stage.REST && next != Stage.ANSWER) {
             // An agent that stood still itself first reads what has come meanwhile.
-            long from = next == Stage.UNREAD || hasAsked ? loop.clock() : cameAt;
+            long from = next == Stage.UNREAD || hasAsked ? loop.clock() : owedSince;
             timer = loop.at(from + (next == Stage.HALF && hasAsked ? OWED_LATER : OWED - 2 * GRACE),
                     () -> timer = loop.at(loop.now() + GRACE, this::tooLong));
         }
