--- a/src/test/java/honeygap/lab/soak/SoakCheckerTest.java
+++ b/src/test/java/honeygap/lab/soak/SoakCheckerTest.java
@@ -193,6 +193,15 @@
         assertEquals(List.of("memory", "holdings"), broken());
     }
 
+    /** Half a request is kept for three seconds at the most, less what the process stood still. */
+    @Test
+    void halfRequest() {
+        assertEquals(List.of(), SoakChecker.checkHalfRequest(record, AGENT, 3100, 10_000));
+        assertEquals(1, SoakChecker.checkHalfRequest(record, AGENT, 3400, 10_000).size());
+        record.standstills.add(new SoakRecord.Standstill(AGENT, 9000, 9400));
+        assertEquals(List.of(), SoakChecker.checkHalfRequest(record, AGENT, 3400, 10_000));
+    }
+
     /** A busy machine measures late: limits are longer by as much. */
     @Test
     void latenessOfTheRunItself() {
