All connections of a process share one memory budget; a failed loop ends the process

Cause: what connections hold was bounded one by one, FrameDecoder kept the last message and allocated the next one at its declared length, and 480 of them come to twice the heap of 64 MB; the report of the OutOfMemoryError threw as well and ended the loop's thread, MINA starts no other I/O processor after an error, and nothing ended the process. Change: MemoryBudget (policy) bounds the sum for clients, appliances, flags, discovery, desk and the manager's door; incomplete requests are given up first, admitted ones never. Buffers follow what has arrived. The loop takes its I/O processor up again; where that fails again and again, or a thread that accepts or dials ends, the process ends with 70.

--- a/src/main/java/honeygap/capture/recorder/Recorder.java
+++ b/src/main/java/honeygap/capture/recorder/Recorder.java
@@ -178,12 +178,12 @@
                 }
             }
             writer.close();
-        } catch (IOException | RuntimeException e) {
+        } catch (IOException | RuntimeException | Error e) {
             fail(e);
         }
     }
 
-    private void fail(Exception e) {
+    private void fail(Throwable e) {
         hasFailed = true;
         failures.incrementAndGet();
         Logger.warn("recording stopped after an error: {}", String.valueOf(e.getMessage()));
--- a/src/main/java/honeygap/cli/Serve.java
+++ b/src/main/java/honeygap/cli/Serve.java
@@ -67,7 +67,9 @@
     @Override
     void loopCreated(Loop loop) throws IOException {
         this.loop = loop;
+        loop.setThreadFailureListener(ThreadFailure::endProcess);
         if (recordFolder != null) {
+            loop.memory().reserve(RECORDER_BUFFER_BYTES);
             DataMasker mask = redactionSecretFile == null ? null : new DataMasker(Files.readAllBytes(redactionSecretFile));
             recorder = new Recorder(recordFolder, "agent", recordSize << 20, recordAge * 1_000_000_000L, recordFiles, RECORDER_BUFFER_BYTES,
                     mask);
--- a/src/main/java/honeygap/manage/host/Manager.java
+++ b/src/main/java/honeygap/manage/host/Manager.java
@@ -20,7 +20,6 @@
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -89,12 +88,7 @@
         }
         client = HttpClient.newBuilder().connectTimeout(Duration.ofMillis(settings.answerTimeout / 10))
                 .version(HttpClient.Version.HTTP_1_1).build();
-        server = HttpServer.create(settings.listen, 64);
-        server.setExecutor(Executors.newCachedThreadPool(task -> {
-            Thread thread = new Thread(task, "asked");
-            thread.setDaemon(true);
-            return thread;
-        }));
+        server = BoundedHttp.createServer(settings.listen);
         server.createContext("/v1/", this::handleRequest);
         for (FleetSettings.Instance instance : settings.instances) {
             membership.join(instance.name());
@@ -120,7 +114,8 @@
             task.run();
         } catch (UncheckedIOException e) {
             Logger.debug(e, "write failed, already logged at its source");
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
+            // An error too would otherwise end a scheduled task for good, in a process that lives on.
             Logger.error(e, "unexpected error; the manager continues");
         }
     }
@@ -167,7 +162,7 @@
         }
         request.method(method, body.isEmpty() ? HttpRequest.BodyPublishers.noBody()
                 : HttpRequest.BodyPublishers.ofString(body));
-        client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofByteArray()).whenComplete((response, failure) ->
+        client.sendAsync(request.build(), BoundedHttp.boundedAnswer()).whenComplete((response, failure) ->
                 executor.execute(() -> runGuarded(() -> {
                     updateClock();
                     if (failure != null) {
@@ -315,7 +310,7 @@
                     result.complete(new Answer(507, "{\"error\":" + quoted(e.getMessage()) + "}"));
                 } catch (IOException | Malformed e) {
                     result.complete(new Answer(400, "{\"error\":" + quoted(String.valueOf(e.getMessage())) + "}"));
-                } catch (RuntimeException e) {
+                } catch (RuntimeException | Error e) {
                     result.completeExceptionally(e);
                 }
             });
@@ -449,7 +444,7 @@
 
     @Override
     public void close() {
-        server.stop(0);
+        BoundedHttp.close(server);
         // Does not interrupt the thread: an interrupt during a write would close the store's file.
         executor.shutdown();
         try {
--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -139,7 +139,9 @@
     public Counters counters() {
         Counters counters = new Counters().group("agent", group -> {
             group.count("faults", Loop.faultCount());
+            group.count("faults not logged", Loop.unloggedFaultCount());
             group.count("broken", Loop.invariantViolations());
+            group.count("bytes held", loop.memory().heldBytes());
             group.count("rereads", reloads);
             group.count("not read", failedReloads);
             group.count("accept failures", loop.acceptFailures());
--- a/src/main/java/honeygap/net/Call.java
+++ b/src/main/java/honeygap/net/Call.java
@@ -22,7 +22,7 @@
     }
 
     /** Marks the RPC as answered; each RPC has exactly one final answer. */
-    protected final void markAnswered() {
+    protected void markAnswered() {
         Loop.checkInvariant(!answered);
         answered = true;
     }
@@ -31,6 +31,10 @@
         return answered;
     }
 
+    /** Called when the request of a pick begins to be written, and when it has been written or was given up. */
+    public void requestBeingWritten(boolean isBeingWritten) {
+    }
+
     /** Called when a pick of this RPC is sent to the appliance. */
     public void onPick(Appliance appliance) {
     }
--- a/src/main/java/honeygap/net/FlagProtocol.java
+++ b/src/main/java/honeygap/net/FlagProtocol.java
@@ -51,10 +51,12 @@
         this.loop = loop;
         this.settings = settings;
         rules = settings.rules(loop.clock(), seed);
+        int cacheBytes = settings.cacheRules.isEmpty() ? 0 : settings.cacheBytes;
+        loop.memory().reserve(cacheBytes);
         engine = new EngineAdapter(loop, rules, settings.methods.size(), "flags");
         EvaluationCoordinator answerCache = new EvaluationCoordinator(settings.coalesceRequests, settings.tickInterval, settings.cacheRules,
                 new VersionFloors(settings.maxVersionedKeys, settings.maxVersionCells),
-                new AnswerCache(settings.cacheRules.isEmpty() ? 0 : settings.cacheBytes));
+                new AnswerCache(cacheBytes));
         exchange = new EvaluationDispatcher(loop, rules, answerCache, new RetryAfterLimits(settings.maxRetryAfter));
         flagClients = new FlagClients(loop, exchange, settings.methods.get(0), settings.methods.get(1),
                 settings.methods.get(2), settings.methods.get(3), settings.tickInterval, settings.maxClients, settings.maxRequestBytes);
--- a/src/main/java/honeygap/net/GatheringBuffer.java
+++ b/src/main/java/honeygap/net/GatheringBuffer.java
@@ -18,6 +18,18 @@
         this.slices = slices;
     }
 
+    /** How many bytes of memory the buffers keep in use: slices keep the whole array that they are taken from. */
+    public static long backingBytes(ByteBuffer... buffers) {
+        long bytes = 0;
+        byte[] previous = null;
+        for (ByteBuffer buffer : buffers) {
+            byte[] array = buffer.hasArray() ? buffer.array() : null;
+            bytes += array == null ? buffer.capacity() : array == previous ? 0 : array.length;
+            previous = array;
+        }
+        return bytes;
+    }
+
     int writeTo(GatheringByteChannel channel, TrafficListener listener, IoSession session) throws IOException {
         if (listener != null) {
             return writeAndReport(channel, listener, IoEventDispatcher.connectionNumber(session));
--- a/src/main/java/honeygap/net/Loop.java
+++ b/src/main/java/honeygap/net/Loop.java
@@ -1,5 +1,6 @@
 package honeygap.net;
 
+import honeygap.rules.memory.MemoryBudget;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
@@ -17,6 +18,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.service.SimpleIoProcessorPool;
@@ -76,8 +78,11 @@
         }
     }
 
-    /** Faults caught since the process started: the first 100 are logged, and none ends the loop. */
+    /** Faults caught since the process started; the first of them are logged. */
     private static final AtomicLong FAULTS = new AtomicLong();
+    private static final long MAX_LOGGED_FAULTS = 100;
+    /** Faults that should have been logged and could not. */
+    private static final AtomicLong UNLOGGED_FAULTS = new AtomicLong();
 
     /** Violations of {@link #checkInvariant} since the process started. */
     private static final AtomicLong INVARIANT_VIOLATIONS = new AtomicLong();
@@ -87,7 +92,11 @@
     private static final long MAX_WAIT_MS = 1000;
     private static final int MIN_CANCELLED_TO_PURGE = 64;
     private static final int INITIAL_READ_BUFFER_BYTES = 4096;
-    private static final int MAX_READ_BUFFER_BYTES = 65536;
+    /** Bounds what one pass over all connections may add to what they hold. */
+    private static final int MAX_READ_BUFFER_BYTES = 16_384;
+    /** Failures of the loop itself that it survives, unless each follows the one before within a second. */
+    private static final int MAX_FAILURES_IN_A_ROW = 3;
+    private static final long FAILURE_INTERVAL_NANOS = 1_000_000_000;
 
     private final LinkedBlockingQueue<Runnable> processorTasks = new LinkedBlockingQueue<>();
     private final Queue<Runnable> postedTasks = new ConcurrentLinkedQueue<>();
@@ -99,6 +108,7 @@
     private final AtomicLong localConnectFailures = new AtomicLong();
     private final long clockOriginNanos = System.nanoTime();
     private final boolean isBusyWaiting;
+    private final MemoryBudget memory;
     private long nextTimerSequence;
     private int cancelledTimers;
     private long now;
@@ -106,6 +116,9 @@
     private volatile Thread thread;
     private volatile boolean isClosing;
     private volatile boolean isStopped;
+    private volatile Consumer<Throwable> threadFailureListener = cause -> { };
+    private int failuresInARow;
+    private long lastFailureNanos;
     private long programStartNanos = clockOriginNanos;
     private long firstRpcMs;
     LoopProcessor processor;
@@ -121,7 +134,13 @@
      * A busy-waiting loop does not sleep if a timer is due within two milliseconds: for tools that need exact timing.
      */
     public Loop(boolean isBusyWaiting) {
+        this(isBusyWaiting, Runtime.getRuntime().maxMemory());
+    }
+
+    /** A loop whose connections share a heap of this size. */
+    Loop(boolean isBusyWaiting, long heapBytes) {
         this.isBusyWaiting = isBusyWaiting;
+        memory = new MemoryBudget(heapBytes);
         ExceptionMonitor.setInstance(new ExceptionMonitor() {
             @Override
             public void exceptionCaught(Throwable cause) {
@@ -142,15 +161,38 @@
 
     /** MINA's acceptors and connectors block on threads of their own and hand each session over to the loop. */
     private void runOnHelperThread(Runnable task) {
-        Thread helper = new Thread(null, task, "connections", 1 << 17);
+        Thread helper = new Thread(null, () -> runToEnd(task), "connections", 1 << 17);
         helper.setDaemon(true);
         helper.start();
     }
 
-    /** Counts and logs an unexpected exception or error. */
+    /** Runs what a thread is there for. If it fails, the loop is not whole any more and the listener is notified. */
+    private void runToEnd(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | Error e) {
+            reportFault(e);
+            threadFailureListener.accept(e);
+            throw e;
+        }
+    }
+
+    /**
+     * Sets what is done when a thread of this loop has ended by a failure: connections are then not accepted, not
+     * opened or not served any more.
+     */
+    public void setThreadFailureListener(Consumer<Throwable> listener) {
+        threadFailureListener = listener;
+    }
+
+    /** Counts and logs an unexpected exception or error; never fails itself, even if there is no memory for a log line. */
     public static void reportFault(Throwable cause) {
-        if (FAULTS.incrementAndGet() <= 100) {
-            Logger.error(cause, "internal fault, continuing");
+        if (FAULTS.incrementAndGet() <= MAX_LOGGED_FAULTS) {
+            try {
+                Logger.error(cause, "internal fault, continuing");
+            } catch (RuntimeException | Error e) {
+                UNLOGGED_FAULTS.incrementAndGet();
+            }
         }
     }
 
@@ -172,6 +214,16 @@
         return FAULTS.get();
     }
 
+    /** The number of faults that could not be logged. */
+    static long unloggedFaultCount() {
+        return UNLOGGED_FAULTS.get();
+    }
+
+    /** The memory that all connections of this loop share; on the loop's thread only. */
+    public MemoryBudget memory() {
+        return memory;
+    }
+
     /** Tenths of a millisecond since the loop was created. */
     public long clock() {
         return (System.nanoTime() - clockOriginNanos) / 100_000;
@@ -400,19 +452,39 @@
     @Override
     public void run() {
         thread = Thread.currentThread();
+        runToEnd(this::runUntilStopped);
+    }
+
+    private void runUntilStopped() {
         while (!isStopped) {
+            Runnable processor = null;
             try {
                 runIteration();
-                Runnable processor = processorTasks.poll(millisUntilNextTimer(), TimeUnit.MILLISECONDS);
+                processor = processorTasks.poll(millisUntilNextTimer(), TimeUnit.MILLISECONDS);
                 if (processor != null) {
                     processor.run();
                 }
             } catch (InterruptedException | RuntimeException | Error e) {
                 reportFault(e);
+                if (processor != null) {
+                    // It did not end by itself, so MINA does not start another one for its sessions.
+                    processorTasks.add(processor);
+                }
+                endIfFailingRepeatedly(e);
             }
         }
     }
 
+    /** Ends the loop's thread rather than failing for ever: nobody would be served. */
+    private void endIfFailingRepeatedly(Throwable cause) {
+        long nanos = System.nanoTime();
+        failuresInARow = nanos - lastFailureNanos > FAILURE_INTERVAL_NANOS ? 1 : failuresInARow + 1;
+        lastFailureNanos = nanos;
+        if (failuresInARow > MAX_FAILURES_IN_A_ROW) {
+            throw new IllegalStateException("the event loop fails again and again", cause);
+        }
+    }
+
     /**
      * One iteration: processes all queued input, then steps until no decision is left; does nothing once the loop is
      * closing.
--- a/src/main/java/honeygap/net/admin/AdminConnection.java
+++ b/src/main/java/honeygap/net/admin/AdminConnection.java
@@ -16,6 +16,8 @@
     private boolean hasSentRequest;
     /** Whether a request is being handled off the loop; the next one is read only after its response. */
     private boolean isResponsePending;
+    /** The body of that request, which its handler keeps. */
+    private int pendingBodyBytes;
 
     AdminConnection(AdminEndpoint endpoint) {
         super(endpoint.connections);
@@ -39,8 +41,13 @@
     }
 
     @Override
-    protected int maxBufferedBytes() {
-        return requests.maxBufferedBytes();
+    protected long heldInputBytes() {
+        return requests.heldBytes() + (isResponsePending ? pendingBodyBytes : 0);
+    }
+
+    @Override
+    protected void discardInput() {
+        requests.clear();
     }
 
     @Override
@@ -62,6 +69,11 @@
         return response(503, "{\"error\":\"too many connections\"}".getBytes(StandardCharsets.US_ASCII), false);
     }
 
+    @Override
+    protected ByteBuffer outOfMemoryResponse() {
+        return response(503, "{\"error\":\"too much is held for other requests\"}".getBytes(StandardCharsets.US_ASCII), false);
+    }
+
     @Override
     protected ByteBuffer shutdownResponse() {
         return response(503, "{\"error\":\"shutting down\"}".getBytes(StandardCharsets.US_ASCII), false);
@@ -81,6 +93,8 @@
                 requestReceived();
                 if (endpoint.connections.rejectsRequest()) {
                     writeAndClose(tooManyConnectionsResponse());
+                } else if (endpoint.connections.lacksMemory()) {
+                    writeAndClose(outOfMemoryResponse());
                 } else {
                     handleRequest();
                 }
@@ -111,6 +125,7 @@
                 return;
             }
             body = endpoint.respond(requests.method(), requests.target(), requests.body());
+            requests.releaseBody();
         } catch (Refusal e) {
             status = e.status;
             body = errorBody(e);
@@ -132,8 +147,11 @@
 
     private void handleAsync(AsyncHandler handler) {
         boolean keepAlive = requests.isKeepAlive();
+        byte[] requestBody = requests.body();
+        pendingBodyBytes = requestBody.length;
+        requests.releaseBody();
         isResponsePending = true;
-        handler.handle(requests.method(), requests.target(), requests.body().clone(), new AsyncHandler.Reply() {
+        handler.handle(requests.method(), requests.target(), requestBody, new AsyncHandler.Reply() {
             @Override
             public void reply(int status, byte[] body) {
                 endpoint.runOnLoop(() -> {
--- a/src/main/java/honeygap/net/appliances/PostgresConnection.java
+++ b/src/main/java/honeygap/net/appliances/PostgresConnection.java
@@ -65,6 +65,7 @@
         while (!isClosed && frames.next()) {
             handleMessage();
         }
+        frames.endInput();
     }
 
     @Override
@@ -77,6 +78,11 @@
         return frames.bufferedBytes() > 0;
     }
 
+    @Override
+    protected long heldInputBytes() {
+        return frames.heldBytes() + GatheringBuffer.backingBytes(answerSlices.toArray(new ByteBuffer[0]));
+    }
+
     @Override
     protected void onIdle() {
         expectedTypes = IDLE_TYPES;
--- a/src/main/java/honeygap/net/clients/PgClientConnection.java
+++ b/src/main/java/honeygap/net/clients/PgClientConnection.java
@@ -24,6 +24,7 @@
      * further connections under load, so a longer queue is treated as a protocol violation.
      */
     private static final int MAX_QUEUED_MESSAGES = 64;
+    private static final String OUT_OF_MEMORY = "too much is held for other requests, trying again is harmless";
 
     private final PgClients clients;
     private final FrameDecoder decoder = new FrameDecoder(MAX_MESSAGE_LENGTH);
@@ -51,8 +52,13 @@
     }
 
     @Override
-    protected int maxBufferedBytes() {
-        return MAX_MESSAGE_LENGTH;
+    protected long heldInputBytes() {
+        return decoder.heldBytes();
+    }
+
+    @Override
+    protected void discardInput() {
+        decoder.clear();
     }
 
     @Override
@@ -65,6 +71,11 @@
         return PgMessages.fatal(PgMessages.TOO_MANY_CONNECTIONS, "too many connections");
     }
 
+    @Override
+    protected ByteBuffer outOfMemoryResponse() {
+        return PgMessages.fatal(PgMessages.TOO_MANY_CONNECTIONS, OUT_OF_MEMORY);
+    }
+
     @Override
     protected ByteBuffer shutdownResponse() {
         return PgMessages.fatal(PgMessages.CANNOT_CONNECT_NOW, "this agent is shutting down, trying again is harmless");
@@ -106,6 +117,7 @@
         if (!isEnding() && started && decoder.hasMoreMessagesThan(MAX_QUEUED_MESSAGES)) {
             rejectMalformed("too many commands at once");
         }
+        decoder.endInput();
     }
 
     private void handleStartup(ByteBuffer body) throws Malformed {
@@ -153,6 +165,10 @@
         }
         Statement statement = clients.statement;
         if (statement.parse(body)) {
+            if (clients.connections.lacksMemory()) {
+                write(PgMessages.error(PgMessages.TOO_MANY_CONNECTIONS, OUT_OF_MEMORY, 0));
+                return;
+            }
             call = clients.openRpc(this, statement);
             if (call != null) {
                 clients.submit(call);
--- a/src/main/java/honeygap/net/clients/PgClients.java
+++ b/src/main/java/honeygap/net/clients/PgClients.java
@@ -106,6 +106,7 @@
         Query call = new Query(statement.id(), method, tenants.getOrDefault(statement.tenant(), defaultTenant),
                 statement.key(), now, deadline, statement.hintMicros() / 100, statement.retry(), client,
                 statement.textBeforeTimeout(), statement.textAfterTimeout());
+        call.accountFor(loop.memory().open(() -> { }), now);
         openRpcs.put(call.id, call);
         recordShutdownEvent(ShutdownEvent.TAKEN, call, client);
         call.deadlineTimer = loop.schedule(deadline + 2 * tick, () -> loop.post(() -> abortIfUnanswered(call)));
@@ -167,7 +168,10 @@
 
     /** Notifies the rules that the client of this RPC has disconnected. */
     void abandoned(Query call) {
-        loop.defer(() -> rules.clientDisconnected(call));
+        loop.defer(() -> {
+            rules.clientDisconnected(call);
+            call.endTextUse();
+        });
     }
 
     void removeRpc(Query call) {
--- a/src/main/java/honeygap/net/connections/ClientConnection.java
+++ b/src/main/java/honeygap/net/connections/ClientConnection.java
@@ -4,6 +4,7 @@
 import honeygap.net.Loop;
 import honeygap.net.ConnectionHandler;
 import honeygap.net.shutdown.ShutdownEvent;
+import honeygap.rules.memory.MemoryBudget;
 import java.nio.ByteBuffer;
 import java.util.Locale;
 import org.apache.mina.core.session.IoSession;
@@ -21,13 +22,19 @@
      * are tenths of a millisecond.
      */
     private static final long STAGE_TIMEOUT = 30_000;
-    /** The same for the rest of a message on a connection that has already sent a request. */
+    /**
+     * How long the rest of a message may take on a connection that has already sent a request, provided that parts of
+     * it keep arriving: without any, the connection is ended as after any other stage.
+     */
     private static final long PARTIAL_REQUEST_TIMEOUT = 2 * STAGE_TIMEOUT;
     /** Granted at the end of a stage, so that input received during a pause of the agent is read first. */
     private static final long STAGE_GRACE = STAGE_TIMEOUT / 20;
     /** A new connection is kept this long for its first RPC, because its client may be delayed too. */
     private static final long FIRST_RPC_TIMEOUT = STAGE_TIMEOUT / 6;
 
+    /** Bytes that may be queued behind an open RPC before reading is suspended. */
+    private static final int MAX_QUEUED_BYTES = 16_384;
+
     /** What a connection waits for; the names appear, in lower case, in the shutdown log. */
     private enum Stage {
         /** Not yet opened. */
@@ -55,6 +62,12 @@
     private long openedAt;
     private long earliestAcceptedAt;
     private long stageSince;
+    private long lastInputAt;
+    /** When the time that the stage timer grants began. */
+    private long timeoutStart;
+    /** Bytes of responses that are not yet completely handed over to the operating system. */
+    private long unreadBytes;
+    private final MemoryBudget.Account memory;
     /** Maintained by {@link ClientConnections}, which closes connections that have been idle for too long. */
     long idleSince;
     private boolean hasReceivedRequest;
@@ -64,6 +77,7 @@
     protected ClientConnection(ClientConnections connections) {
         this.connections = connections;
         loop = connections.loop;
+        memory = loop.memory().open(this::releaseMemory);
     }
 
     /** Whether the client has sent what its protocol requires at the start of a connection. */
@@ -75,9 +89,15 @@
     /** How many received bytes are buffered: unread messages or part of one. */
     protected abstract int bufferedBytes();
 
+    /** How many bytes of memory the received input takes, including that of the open RPC. */
+    protected abstract long heldInputBytes();
+
     /** Buffers received bytes. */
     protected abstract void buffer(ByteBuffer bytes);
 
+    /** Drops all buffered input, because nothing more is read from this client. */
+    protected abstract void discardInput();
+
     /** Processes buffered messages for as long as {@link #canRead} holds. */
     protected abstract void processInput();
 
@@ -90,15 +110,15 @@
     /** The final response to a client that is disconnected because there are too many connections. */
     protected abstract ByteBuffer tooManyConnectionsResponse();
 
+    /** The final response to a client whose incomplete request takes memory that the process lacks. */
+    protected abstract ByteBuffer outOfMemoryResponse();
+
     /** The final response to a client whose request is still incomplete when the agent shuts down. */
     protected abstract ByteBuffer shutdownResponse();
 
     /** Answers the open RPC as failed, because no response was produced for it in time. */
     protected abstract void failRpc();
 
-    /** How many bytes may be buffered behind an open RPC before reading is suspended. */
-    protected abstract int maxBufferedBytes();
-
     protected final boolean canRead() {
         return !hasOpenRpc() && !writing && !ending;
     }
@@ -107,9 +127,13 @@
         return ending;
     }
 
-    /** Marks that the client has sent a request, which extends the timeout for the rest of later messages. */
+    /**
+     * Marks that the client has sent a request, which extends the timeout for the rest of later messages. From then on the
+     * request's memory is counted as that of an open RPC; what is held besides is counted after the processing.
+     */
     protected final void requestReceived() {
         hasReceivedRequest = true;
+        memory.clear();
     }
 
     @Override
@@ -135,10 +159,10 @@
         if (ending) {
             return;
         }
+        lastInputAt = loop.clock();
         buffer(bytes);
         advance();
-        // Limits the bytes buffered behind an open RPC. A partial message never reaches this limit.
-        if (bufferedBytes() > maxBufferedBytes() && !ending) {
+        if (bufferedBytes() > MAX_QUEUED_BYTES && !canRead() && !ending) {
             session.suspendRead();
         }
     }
@@ -147,6 +171,7 @@
     public final void written() {
         if (writing) {
             writing = false;
+            unreadBytes = 0;
             if (session.isReadSuspended()) {
                 session.resumeRead();
             }
@@ -161,6 +186,8 @@
         connections.remove(this);
         connections.connectionClosed();
         abandonRpc();
+        discardInput();
+        memory.clear();
     }
 
     protected final void advance() {
@@ -177,30 +204,53 @@
     private void updateStage() {
         Stage next = disconnected ? Stage.REST : writing || ending ? Stage.UNREAD : !isStarted() ? Stage.START
                 : hasOpenRpc() ? Stage.ANSWER : bufferedBytes() > 0 ? Stage.HALF : Stage.REST;
-        if (next == stage) {
-            return;
+        if (next != stage) {
+            stage = next;
+            stageSince = loop.clock();
+            restartStageTimer();
+            connections.updateAwaitingInput(this, next == Stage.START || next == Stage.HALF);
         }
-        stage = next;
-        stageSince = loop.clock();
+        updateMemory();
+    }
+
+    private void restartStageTimer() {
         if (stageTimer != null) {
             stageTimer.cancel();
             stageTimer = null;
         }
-        if (next != Stage.REST && next != Stage.ANSWER) {
-            // The second timer lets an agent that was itself suspended read the input received meanwhile.
-            long start = next == Stage.UNREAD || hasReceivedRequest ? loop.clock() : earliestAcceptedAt;
-            stageTimer = loop.schedule(start + (next == Stage.HALF && hasReceivedRequest ? PARTIAL_REQUEST_TIMEOUT
-                    : STAGE_TIMEOUT - 2 * STAGE_GRACE),
-                    () -> stageTimer = loop.schedule(loop.now() + STAGE_GRACE, this::stageTimedOut));
+        if (stage != Stage.REST && stage != Stage.ANSWER) {
+            scheduleStageTimeout(stage == Stage.UNREAD || hasReceivedRequest ? stageSince : earliestAcceptedAt);
         }
-        connections.updateAwaitingInput(this, next == Stage.START || next == Stage.HALF);
+    }
+
+    /** Waits for this stage's timeout, then for the grace that lets a suspended agent read the input received meanwhile. */
+    private void scheduleStageTimeout(long start) {
+        timeoutStart = start;
+        stageTimer = loop.schedule(start + STAGE_TIMEOUT - 2 * STAGE_GRACE,
+                () -> stageTimer = loop.schedule(loop.now() + STAGE_GRACE, this::stageTimedOut));
     }
 
     private void stageTimedOut() {
+        long extendedStart = Math.min(lastInputAt, stageSince + PARTIAL_REQUEST_TIMEOUT - STAGE_TIMEOUT);
+        if (stage == Stage.HALF && hasReceivedRequest && extendedStart > timeoutStart) {
+            scheduleStageTimeout(extendedStart);
+            return;
+        }
         connections.countTimedOut();
         terminate(timeoutResponse());
     }
 
+    private void updateMemory() {
+        MemoryBudget.Use use = unreadBytes > 0 ? MemoryBudget.Use.UNREAD_RESPONSE
+                : hasOpenRpc() ? MemoryBudget.Use.OPEN_REQUEST : MemoryBudget.Use.PARTIAL_REQUEST;
+        memory.set(use, heldInputBytes() + unreadBytes, loop.now());
+    }
+
+    /** Ends the connection, because the process holds too much for all connections together. */
+    private void releaseMemory() {
+        connections.evictForMemory(this);
+    }
+
     final boolean hasReceivedRequest() {
         return hasReceivedRequest;
     }
@@ -277,19 +327,23 @@
     protected final void close() {
         connections.recordShutdownEvent(ShutdownEvent.CLOSED, this);
         ending = true;
+        discardInput();
         session.closeOnFlush();
         updateStage();
     }
 
     protected final void closeNow() {
         ending = true;
+        discardInput();
         session.closeNow();
     }
 
     protected final void write(ByteBuffer... parts) {
         if (!disconnected) {
             writing = true;
+            unreadBytes += GatheringBuffer.backingBytes(parts);
             session.write(new GatheringBuffer(parts));
+            updateStage();
         }
     }
 
--- a/src/main/java/honeygap/net/connections/ClientConnections.java
+++ b/src/main/java/honeygap/net/connections/ClientConnections.java
@@ -2,6 +2,7 @@
 
 import honeygap.net.Counters;
 import honeygap.net.Loop;
+import honeygap.net.OncePerSecond;
 import honeygap.net.shutdown.ShutdownEvent;
 import honeygap.net.shutdown.ShutdownLog;
 import honeygap.rules.shutdown.ShutdownSchedule;
@@ -13,6 +14,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import org.tinylog.Logger;
 
 /** All client connections of one protocol: enforces the connection limit and closes idle connections. */
 public final class ClientConnections {
@@ -40,6 +42,9 @@
     private long evictedCount;
     private long closedAboveThresholdCount;
     private long rejectedCount;
+    private long evictedForMemoryCount;
+    private long rejectedForMemoryCount;
+    private final OncePerSecond memoryLog;
 
     /**
      * Creates an empty set of connections.
@@ -54,6 +59,7 @@
         this.maxConnections = maxConnections;
         this.idleCloseThreshold = idleCloseThreshold;
         this.idleTimeout = idleTimeout;
+        memoryLog = new OncePerSecond(loop);
     }
 
     /**
@@ -132,6 +138,31 @@
         return isRejected;
     }
 
+    /** Whether there is no memory for another request; counts rejections. Such a request may be retried elsewhere. */
+    public boolean lacksMemory() {
+        boolean isLacking = !loop.memory().admitsRequest(loop.now());
+        if (isLacking) {
+            rejectedForMemoryCount++;
+            logMemory("request rejected");
+        }
+        return isLacking;
+    }
+
+    /** Ends a connection because of what it holds: a request that is still incomplete or a response that is not read. */
+    void evictForMemory(ClientConnection connection) {
+        evictedForMemoryCount++;
+        logMemory("connection ended");
+        remove(connection);
+        connection.terminate(connection.outOfMemoryResponse());
+    }
+
+    private void logMemory(String event) {
+        if (memoryLog.isDue()) {
+            Logger.warn("{}: all connections together hold {} bytes, {} are allowed for requests", event,
+                    loop.memory().heldBytes(), loop.memory().maxBytesForRequests());
+        }
+    }
+
     /** Rejects requests and closes connections between RPCs, or accepts them again. */
     public void drain(boolean isDrained) {
         drained = isDrained;
@@ -246,5 +277,7 @@
         counters.count("made room", evictedCount);
         counters.count("crowded", closedAboveThresholdCount);
         counters.count("full", rejectedCount);
+        counters.count("ended for memory", evictedForMemoryCount);
+        counters.count("rejected for memory", rejectedForMemoryCount);
     }
 }
--- a/src/main/java/honeygap/net/discovery/JsonDocumentReader.java
+++ b/src/main/java/honeygap/net/discovery/JsonDocumentReader.java
@@ -20,9 +20,12 @@
 
     /** Enough for about ten thousand indented list entries. */
     private static final int MAX_DOCUMENT_BYTES = 4 << 20;
+    private static final int INITIAL_BYTES = 1024;
+    /** A larger buffer is not kept for the next document. */
+    private static final int MAX_KEPT_BYTES = 1 << 16;
 
     private final Listener listener;
-    private byte[] buffer = new byte[1024];
+    private byte[] buffer = new byte[INITIAL_BYTES];
     private int length;
     private int depth;
     private boolean isInString;
@@ -37,6 +40,11 @@
         return length > 0;
     }
 
+    @Override
+    public int heldBytes() {
+        return length == 0 ? 0 : buffer.length;
+    }
+
     @Override
     public void onLine(byte[] bytes, int count) throws Malformed {
         if (count == 0 && length > 0) {
@@ -57,7 +65,9 @@
         if (depth == 0) {
             int documentLength = length;
             length = 0;
-            listener.document(buffer, documentLength);
+            byte[] complete = buffer;
+            buffer = buffer.length > MAX_KEPT_BYTES ? new byte[INITIAL_BYTES] : buffer;
+            listener.document(complete, documentLength);
         }
     }
 
--- a/src/main/java/honeygap/net/flagclients/FlagClientConnection.java
+++ b/src/main/java/honeygap/net/flagclients/FlagClientConnection.java
@@ -82,8 +82,13 @@
     }
 
     @Override
-    protected int maxBufferedBytes() {
-        return parser.maxBufferedBytes();
+    protected long heldInputBytes() {
+        return parser.heldBytes() + (openEvaluation == null ? 0 : openEvaluation.query.identity.length);
+    }
+
+    @Override
+    protected void discardInput() {
+        parser.clear();
     }
 
     @Override
@@ -98,6 +103,13 @@
         return createResponse(503, OfrepJson.error(null, null, "too many connections"), "Retry-After: 1\r\n", false);
     }
 
+    @Override
+    protected ByteBuffer outOfMemoryResponse() {
+        clients.countRejected("out of memory");
+        return createResponse(503, OfrepJson.error(null, null, "too much is held for other requests"), "Retry-After: 1\r\n",
+                false);
+    }
+
     @Override
     protected ByteBuffer shutdownResponse() {
         clients.countRejected("shutting down");
@@ -135,6 +147,8 @@
                 continueSent = false;
                 if (clients.connections.rejectsRequest()) {
                     writeAndClose(tooManyConnectionsResponse());
+                } else if (clients.connections.lacksMemory()) {
+                    writeAndClose(outOfMemoryResponse());
                 } else {
                     handleRequest();
                 }
@@ -168,6 +182,7 @@
                 throw new Refusal(415, "other type", "content-type " + contentType);
             }
             openEvaluation = createEvaluation(route);
+            parser.releaseBody();
             clients.dispatcher.submit(openEvaluation, clients.tick);
         } catch (Refusal e) {
             clients.countRejected(e.kind);
--- a/src/main/java/honeygap/net/flagservers/FlagServerConnection.java
+++ b/src/main/java/honeygap/net/flagservers/FlagServerConnection.java
@@ -27,10 +27,11 @@
 
     /** Longer Retry-After times are cut to this; the rules apply a limit of their own. */
     private static final long MAX_RETRY_AFTER_SECONDS = 86_400;
+    private static final byte[] NO_BODY = {};
 
     private final int maxAnswerBytes;
     private final ResponseParser answers = new ResponseParser(this);
-    private byte[] body = new byte[256];
+    private byte[] body = NO_BODY;
     private int length;
     private byte[] hostHeader;
     private int status;
@@ -85,6 +86,11 @@
         }
     }
 
+    @Override
+    protected long heldInputBytes() {
+        return body.length;
+    }
+
     @Override
     protected boolean hasPartialMessage() {
         return !answers.isBetweenResponses();
@@ -146,6 +152,8 @@
         }
         boolean closes = closesAfterAnswer;
         finishPick(outcome(ask));
+        // An idle connection keeps no answer.
+        body = NO_BODY;
         if (closes) {
             close(Pick.CANCELLED);
         } else {
--- a/src/main/java/honeygap/net/http/LineSplitter.java
+++ b/src/main/java/honeygap/net/http/LineSplitter.java
@@ -11,13 +11,21 @@
     public interface LineHandler {
 
         void onLine(byte[] bytes, int length) throws Malformed;
+
+        /** How many bytes of memory the handler keeps of the lines so far. */
+        default int heldBytes() {
+            return 0;
+        }
     }
 
     /** In bytes. */
     private static final int MAX_LINE_LENGTH = 4 << 20;
+    private static final int INITIAL_LENGTH = 1024;
+    /** A longer buffer is not kept for the next line, in bytes. */
+    private static final int MAX_KEPT_LENGTH = 1 << 16;
 
     private final LineHandler handler;
-    private byte[] line = new byte[1024];
+    private byte[] line = new byte[INITIAL_LENGTH];
     private int length;
 
     /** Creates a splitter that reports to this handler. */
@@ -25,6 +33,11 @@
         this.handler = handler;
     }
 
+    /** How many bytes of memory the incomplete line takes, and what the handler keeps. */
+    public int heldBytes() {
+        return (length == 0 ? 0 : line.length) + handler.heldBytes();
+    }
+
     /** Splits more input; the buffer is consumed completely. */
     public void feed(ByteBuffer bytes) throws Malformed {
         while (bytes.hasRemaining()) {
@@ -32,7 +45,9 @@
             if (next == '\n') {
                 int lineLength = length > 0 && line[length - 1] == '\r' ? length - 1 : length;
                 length = 0;
-                handler.onLine(line, lineLength);
+                byte[] complete = line;
+                line = line.length > MAX_KEPT_LENGTH ? new byte[INITIAL_LENGTH] : line;
+                handler.onLine(complete, lineLength);
             } else {
                 if (length == line.length) {
                     if (length >= MAX_LINE_LENGTH) {
--- a/src/main/java/honeygap/net/http/RequestParser.java
+++ b/src/main/java/honeygap/net/http/RequestParser.java
@@ -25,10 +25,13 @@
     private static final Pattern HEX_DIGITS = Pattern.compile("[0-9a-fA-F]+");
     private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
 
+    private static final int INITIAL_BUFFER_LENGTH = 1024;
+    private static final byte[] NO_BODY = {};
+
     private static final int HEAD = 0, BODY = 1, CHUNK_SIZE = 2, CHUNK_DATA = 3, TRAILER = 4;
 
     private final int maxBodyLength;
-    private byte[] buffer = new byte[1024];
+    private byte[] buffer = new byte[INITIAL_BUFFER_LENGTH];
     private int readPosition;
     private int writePosition;
     private int scanPosition;
@@ -38,7 +41,7 @@
     private String target;
     private boolean isHttp10;
     private final Map<String, String> fields = new HashMap<>();
-    private byte[] body;
+    private byte[] body = NO_BODY;
     private int bodyLength;
     private int remaining;
 
@@ -69,9 +72,23 @@
         return writePosition - readPosition + (state == HEAD ? 0 : 1);
     }
 
-    /** The maximum number of bytes that need to be buffered behind an open request. */
-    public int maxBufferedBytes() {
-        return MAX_HEAD_LENGTH + maxBodyLength;
+    /** How many bytes of memory the input takes, from the first byte of a request until its body is released. */
+    public int heldBytes() {
+        int unread = state == HEAD && readPosition == writePosition ? 0 : buffer.length;
+        return unread + body.length;
+    }
+
+    /** Lets go of the body of the last request. */
+    public void releaseBody() {
+        body = NO_BODY;
+    }
+
+    /** Drops all input. */
+    public void clear() {
+        releaseBody();
+        readPosition = writePosition = scanPosition = 0;
+        state = HEAD;
+        buffer = new byte[INITIAL_BUFFER_LENGTH];
     }
 
     /** Returns whether another request is complete; its parts are valid until the next call. */
@@ -81,6 +98,11 @@
         }
         if (state == BODY) {
             int part = Math.min(remaining, writePosition - readPosition);
+            // Grows with what arrives: the declared length alone must not take memory.
+            if (body.length < bodyLength + part) {
+                int declaredLength = bodyLength + remaining;
+                body = Arrays.copyOf(body, Math.min(declaredLength, Math.max(bodyLength + part, 2 * body.length)));
+            }
             System.arraycopy(buffer, readPosition, body, bodyLength, part);
             readPosition += part;
             bodyLength += part;
@@ -97,7 +119,7 @@
             readPosition = writePosition = scanPosition = 0;
             if (buffer.length > MAX_HEAD_LENGTH) {
                 // Releases the memory of a long body, so that idle connections don't hold it.
-                buffer = new byte[1024];
+                buffer = new byte[INITIAL_BUFFER_LENGTH];
             }
         }
         return true;
@@ -220,7 +242,7 @@
             if (!transferCoding.equalsIgnoreCase("chunked") || isHttp10) {
                 throw new Refusal(isHttp10 ? 400 : 501, "other coding", "transfer-encoding " + transferCoding);
             }
-            body = new byte[0];
+            body = NO_BODY;
             state = CHUNK_SIZE;
             return;
         }
@@ -232,7 +254,7 @@
             throw bodyTooLong();
         }
         remaining = (int) declaredLength;
-        body = new byte[remaining];
+        body = NO_BODY;
         state = BODY;
     }
 
--- a/src/main/java/honeygap/net/http/ResponseStream.java
+++ b/src/main/java/honeygap/net/http/ResponseStream.java
@@ -1,6 +1,7 @@
 package honeygap.net.http;
 
 import honeygap.net.Loop;
+import honeygap.rules.memory.MemoryBudget;
 import honeygap.config.Malformed;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -27,6 +28,7 @@
     private Loop.Timer timeoutTimer;
     private int status;
     private boolean ended;
+    private final MemoryBudget.Account memory;
 
     /**
      * Sends the request. The response head must arrive within {@code headTimeout}, and later data at intervals of at
@@ -38,6 +40,7 @@
         this.silenceTimeout = silenceTimeout;
         this.listener = listener;
         lines = new LineSplitter(lineHandler);
+        memory = loop.memory().open(() -> { });
         timeoutTimer = loop.schedule(loop.now() + headTimeout, () -> endWith(StreamEnd.Cause.NO_ANSWER));
         connection = new Connection(loop, address, this, (end, requestWritten) -> endWith(cause(end)));
         connection.get(path);
@@ -47,6 +50,7 @@
     public void close() {
         ended = true;
         timeoutTimer.cancel();
+        memory.clear();
         connection.close();
     }
 
@@ -84,6 +88,9 @@
             restartSilenceTimer();
             lines.feed(bytes);
         }
+        if (!ended) {
+            memory.set(MemoryBudget.Use.DOCUMENT, lines.heldBytes(), loop.now());
+        }
     }
 
     private void restartSilenceTimer() {
--- a/src/main/java/honeygap/net/pg/FrameDecoder.java
+++ b/src/main/java/honeygap/net/pg/FrameDecoder.java
@@ -3,7 +3,10 @@
 import honeygap.config.Malformed;
 import java.nio.ByteBuffer;
 
-/** Splits received bytes into messages of the wire protocol; copies only messages that arrive in several reads. */
+/**
+ * Splits received bytes into messages of the wire protocol; copies only messages that arrive in several reads. What it
+ * holds follows what has arrived, not the length that a message declares.
+ */
 public final class FrameDecoder {
 
     private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
@@ -32,10 +35,9 @@
         }
         if (!ownsBuffer || buffer.capacity() - buffer.limit() < more.remaining()) {
             int length = buffer.remaining() + more.remaining();
-            // Once the length of the message is known, allocates all of it to avoid a copy per read.
+            // Doubles up to the declared length, to avoid a copy per read.
             int declaredLength = buffer.remaining() >= TYPED_HEADER_LENGTH ? buffer.getInt(buffer.position() + 1) + 1 : 0;
-            ByteBuffer grown = ByteBuffer.allocate(
-                    Math.max(length, Math.min(declaredLength, maxLength + TYPED_HEADER_LENGTH)));
+            ByteBuffer grown = ByteBuffer.allocate(Math.max(length, Math.min(declaredLength, 2 * length)));
             grown.put(buffer).put(more).flip();
             buffer = grown;
             ownsBuffer = true;
@@ -47,6 +49,32 @@
         buffer.put(more).position(start);
     }
 
+    /**
+     * Lets go of the last message and of the buffer that was fed last, whose unread rest is copied. Call it when no more
+     * messages are read for now: buffers are often much larger than that rest.
+     */
+    public void endInput() {
+        message = null;
+        body = null;
+        if (!buffer.hasRemaining()) {
+            buffer = EMPTY;
+        } else if (!ownsBuffer) {
+            buffer = ByteBuffer.allocate(buffer.remaining()).put(buffer).flip();
+            ownsBuffer = true;
+        }
+    }
+
+    /** Drops all input. */
+    public void clear() {
+        buffer = EMPTY;
+        endInput();
+    }
+
+    /** How many bytes of memory the input takes that has not been read as messages. */
+    public int heldBytes() {
+        return buffer.capacity();
+    }
+
     /** How many bytes are buffered. */
     public int bufferedBytes() {
         return buffer.remaining();
--- a/src/main/java/honeygap/net/pg/Query.java
+++ b/src/main/java/honeygap/net/pg/Query.java
@@ -3,6 +3,8 @@
 import honeygap.fleet.Method;
 import honeygap.fleet.Tenant;
 import honeygap.net.Call;
+import honeygap.net.GatheringBuffer;
+import honeygap.rules.memory.MemoryBudget;
 import java.nio.ByteBuffer;
 
 /** An RPC in the PostgreSQL wire protocol: the slices of its statement and the handler of its response. */
@@ -21,8 +23,12 @@
         void abort();
     }
 
-    private final ByteBuffer textBeforeTimeout;
-    private final ByteBuffer textAfterTimeout;
+    /** Null, like the text after the timeout, once no pick can be sent any more. */
+    private ByteBuffer textBeforeTimeout;
+    private ByteBuffer textAfterTimeout;
+    private boolean isTextNeeded = true;
+    private boolean isTextBeingWritten;
+    private MemoryBudget.Account memory;
     /** Null once the RPC is answered or the client has disconnected. */
     private ResponseHandler responseHandler;
 
@@ -35,6 +41,40 @@
         this.textAfterTimeout = textAfterTimeout;
     }
 
+    /** Counts the memory that the text takes in this account, until the text is released. */
+    public void accountFor(MemoryBudget.Account account, long now) {
+        memory = account;
+        account.set(MemoryBudget.Use.OPEN_REQUEST, GatheringBuffer.backingBytes(textBeforeTimeout, textAfterTimeout), now);
+    }
+
+    /** No further pick is sent: the text is released as soon as it is not being written either. */
+    public void endTextUse() {
+        isTextNeeded = false;
+        releaseUnusedText();
+    }
+
+    @Override
+    public void requestBeingWritten(boolean isBeingWritten) {
+        isTextBeingWritten = isBeingWritten;
+        releaseUnusedText();
+    }
+
+    private void releaseUnusedText() {
+        if (!isTextNeeded && !isTextBeingWritten) {
+            textBeforeTimeout = null;
+            textAfterTimeout = null;
+            if (memory != null) {
+                memory.clear();
+            }
+        }
+    }
+
+    @Override
+    protected void markAnswered() {
+        super.markAnswered();
+        endTextUse();
+    }
+
     /** The text of the statement before the client's timeout. */
     public ByteBuffer textBeforeTimeout() {
         return textBeforeTimeout;
--- a/src/main/java/honeygap/net/upstream/ConnectionPool.java
+++ b/src/main/java/honeygap/net/upstream/ConnectionPool.java
@@ -34,6 +34,7 @@
     private final OncePerSecond malformedLogLimiter;
     private long discardedWithInput;
     private long openedCount;
+    private long releasedForMemoryCount;
 
     /**
      * Times are tenths of a millisecond: the agent's tick, the connect timeout and the idle timeout of the
@@ -174,6 +175,10 @@
         }
     }
 
+    void countReleasedForMemory() {
+        releasedForMemoryCount++;
+    }
+
     @Override
     public void report(Counters counters) {
         counters.count("here", connections.size());
@@ -188,5 +193,6 @@
         counters.count("moot", outcomeCounts[Pick.NOT_EXECUTED]);
         counters.count("unreadable", malformedAnswers);
         counters.count("unquiet", discardedWithInput);
+        counters.count("ended for memory", releasedForMemoryCount);
     }
 }
--- a/src/main/java/honeygap/net/upstream/UpstreamConnection.java
+++ b/src/main/java/honeygap/net/upstream/UpstreamConnection.java
@@ -6,6 +6,7 @@
 import honeygap.net.Loop;
 import honeygap.net.ConnectionHandler;
 import honeygap.config.Malformed;
+import honeygap.rules.memory.MemoryBudget;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import org.apache.mina.core.future.ConnectFuture;
@@ -43,10 +44,12 @@
     private long connectStartedAt;
     private Loop.Timer timer;
     private long idleSince;
+    private final MemoryBudget.Account memory;
 
     protected UpstreamConnection(ConnectionPool pool, RemoteAppliance appliance) {
         this.pool = pool;
         this.appliance = appliance;
+        memory = pool.loop.memory().open(this::releaseMemory);
     }
 
     /** The connection is established: begins the protocol's startup, or calls {@link #becomeIdle} if there is none. */
@@ -63,6 +66,9 @@
     /** Whether part of an incomplete message is buffered. */
     protected abstract boolean hasPartialMessage();
 
+    /** How many bytes of memory the received input takes. */
+    protected abstract long heldInputBytes();
+
     /** Called when the connection becomes idle. */
     protected void onIdle() {
     }
@@ -142,6 +148,7 @@
 
     private void sendWithTimeout() {
         setTimeout(timeoutAt, this::onTimeout);
+        call.requestBeingWritten(true);
         sendRequest();
     }
 
@@ -167,7 +174,10 @@
 
     @Override
     public final void written() {
-        isFullyWritten |= isReady && call != null;
+        if (isReady && call != null) {
+            isFullyWritten = true;
+            call.requestBeingWritten(false);
+        }
     }
 
     @Override
@@ -197,6 +207,15 @@
             reportMalformed(e);
             close(isFullyWritten ? Pick.RESET : Pick.CONNECT_FAILED);
         }
+        if (!isClosed) {
+            memory.set(MemoryBudget.Use.PARTIAL_RESPONSE, heldInputBytes(), pool.loop.now());
+        }
+    }
+
+    /** Gives up a partially received answer, because the process holds too much for all connections together. */
+    private void releaseMemory() {
+        pool.countReleasedForMemory();
+        close(isFullyWritten ? Pick.RESET : Pick.CONNECT_FAILED);
     }
 
     /** Reports that an answer could not be parsed. */
@@ -257,6 +276,7 @@
         Call done = call;
         call = null;
         isFullyWritten = false;
+        done.requestBeingWritten(false);
         done.picks.get(pickIndex).connectedAt = connectStartedAt;
         pool.reportEnded(done, pickIndex, outcome);
         return done;
@@ -276,6 +296,7 @@
             return;
         }
         isClosed = true;
+        memory.clear();
         timer.cancel();
         if (session != null) {
             pool.loop.closeAbruptly(session);
--- a/src/main/java/honeygap/replication/host/TableReplicator.java
+++ b/src/main/java/honeygap/replication/host/TableReplicator.java
@@ -170,7 +170,8 @@
                 }
             }
             workerPool.offer(WorkKind.EXPIRE, "", this::expire);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
+            // An error too would otherwise end the rounds for good, in a process that lives on.
             Logger.error(e, "replication round failed; the next round runs as scheduled");
         }
     }
@@ -380,7 +381,7 @@
             } catch (Malformed e) {
                 malformedMessages.incrementAndGet();
                 reply.refuse(new Refusal(400, "field", e.getMessage()));
-            } catch (IOException | RuntimeException e) {
+            } catch (IOException | RuntimeException | Error e) {
                 reply.refuse(new Refusal(500, "fault", String.valueOf(e.getMessage())));
             }
         };
--- a/src/test/java/honeygap/net/FlagsTest.java
+++ b/src/test/java/honeygap/net/FlagsTest.java
@@ -277,6 +277,38 @@
                 + settings + "'servers':[" + String.join(",", servers) + "]}"));
     }
 
+    /** Guards against clients that stop in the middle of long bodies and together take the heap. */
+    @Test
+    void incompleteBodiesMakeRoom() throws Exception {
+        ScriptedServer server = new ScriptedServer("ok");
+        Loop loop = new Loop(false, 2 << 20);
+        flags = new FlagProtocol(loop, configuration("", server("s", server.address(), 1, "up")), 7);
+        agent = new Agent(loop, List.of(flags));
+        agent.start();
+        List<Socket> stopped = new ArrayList<>();
+        try {
+            for (int i = 0; i < 40; i++) {
+                Socket socket = new Socket(agent.address(0).getAddress(), agent.address(0).getPort());
+                socket.setSoTimeout(10_000);
+                stopped.add(socket);
+                socket.getOutputStream().write(("POST /ofrep/v1/evaluate/flags/f HTTP/1.1\r\nHost: x\r\nContent-Length: 65536\r\n\r\n"
+                        + " ".repeat(40_000)).getBytes(StandardCharsets.US_ASCII));
+            }
+            for (Socket socket : stopped) {
+                String ending = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+                assertTrue(ending.startsWith("HTTP/1.1 503 ") || ending.startsWith("HTTP/1.1 408 "), ending);
+            }
+        } finally {
+            for (Socket socket : stopped) {
+                socket.close();
+            }
+        }
+        assertTrue(counter("flag clients", "ended for memory") >= 20);
+        while (counter("agent", "bytes held") > 0) {
+            Thread.onSpinWait();
+        }
+    }
+
     private ScriptedServer start(String scripts) throws IOException, Malformed {
         ScriptedServer server = new ScriptedServer(scripts);
         start("", server("s", server.address(), 1, "up"));
--- a/src/test/java/honeygap/net/LoopTest.java
+++ b/src/test/java/honeygap/net/LoopTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.mina.core.session.IoSession;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -48,6 +49,48 @@
         loop.close();
     }
 
+    /**
+     * Guards against a loop that lives on without its I/O processor: MINA lets an error that is thrown outside of the
+     * handlers end it, and starts no other one.
+     */
+    @Test
+    void errorOfTheProcessorEndsNoConnectionButItsOwn() throws Exception {
+        Loop loop = new Loop();
+        AtomicInteger connections = new AtomicInteger();
+        loop.start();
+        InetSocketAddress address = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 10, 10, () -> {
+            if (connections.getAndIncrement() == 1) {
+                throw new OutOfMemoryError("for the test");
+            }
+            return new Echo(null);
+        });
+        try (Socket before = new Socket(address.getAddress(), address.getPort());
+                Socket failing = new Socket(address.getAddress(), address.getPort())) {
+            failing.getOutputStream().write('x');
+            before.setSoTimeout(10_000);
+            before.getOutputStream().write('x');
+            assertEquals('x', before.getInputStream().read());
+            assertEquals('x', echo(address));
+        }
+        loop.close();
+    }
+
+    /** Guards against a fault whose report fails as well, for want of memory, and then ends the loop's thread. */
+    @Test
+    void reportOfAFaultNeverFails() {
+        long faults = Loop.faultCount();
+        Loop.reportFault(new IllegalStateException() {
+
+            private static final long serialVersionUID = 1;
+
+            @Override
+            public String getMessage() {
+                throw new OutOfMemoryError("for the test");
+            }
+        });
+        assertEquals(faults + 1, Loop.faultCount());
+    }
+
     private static boolean timerFires(Loop loop) throws InterruptedException {
         CountDownLatch fired = new CountDownLatch(1);
         loop.post(() -> loop.schedule(loop.now() + 10, fired::countDown));
@@ -56,6 +99,7 @@
 
     private static int echo(InetSocketAddress address) throws Exception {
         try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            socket.setSoTimeout(10_000);
             socket.getOutputStream().write('x');
             return socket.getInputStream().read();
         }
