A key stays with a build that the list has before the desk reports it

Cause: the key was noted with the build that got it, and asked for only of the build reported last; what is asked of the newest build took no account of listed builds that are not reported yet, nor of the time before the first report. Change: Fleet.buildKeeping looks at the reported build and all later ones; before the first report all but the earliest build are in the first stage; the desk's word ends with a later build in the list.

--- a/src/main/java/honeygap/DecisionEngine.java
+++ b/src/main/java/honeygap/DecisionEngine.java
@@ -306,7 +306,7 @@
         }
         // If one RPC that may go to any appliance found no capacity in this iteration, the next one of its
         // method will not either. This saves repeated searches while many RPCs wait.
-        boolean isUnrestricted = rpc.picks.isEmpty() && !fleet.isRoutedToNewest(rpc.key);
+        boolean isUnrestricted = rpc.picks.isEmpty() && exposureLimit.earliestBuildFor(rpc) == null;
         Appliance appliance = isUnrestricted && rpc.method.noCapacityAt == fleet.now
                 ? null : selector.select(rpc, mayHaveRun);
         rpc.method.noCapacityAt = isUnrestricted && appliance == null ? fleet.now : rpc.method.noCapacityAt;
--- a/src/main/java/honeygap/fleet/Fleet.java
+++ b/src/main/java/honeygap/fleet/Fleet.java
@@ -141,9 +141,20 @@
         return builds.stream().mapToInt(build -> build == evaluatedBuild ? 0 : build.limit.appliances).sum();
     }
 
-    /** Whether the build is the newest one that the desk has reported, or newer. */
+    /**
+     * Whether the build is the newest one that the desk has reported, or newer. Before the desk's first report the
+     * earliest known build counts as the one before.
+     */
     public boolean isNewestOrLater(Build build) {
-        return newestBuild != null && build.number >= newestBuild.number;
+        if (newestBuild == null) {
+            return !builds.isEmpty() && build.number > builds.get(0).number;
+        }
+        return build.number >= newestBuild.number;
+    }
+
+    /** Whether the build is known from the list or the desk's counts alone: it is not reported by the desk yet. */
+    public boolean isUnannounced(Build build) {
+        return build != newestBuild && isNewestOrLater(build);
     }
 
     /** Whether the build is not announced yet, or announced and not released: the exposure limit applies. */
@@ -151,15 +162,30 @@
         return isNewestOrLater(build) && (build != newestBuild || phase != Build.RELEASED);
     }
 
-    /** The newest listed build if it is on trial, otherwise null. */
+    /** Whether a build is known that the desk has not reported yet: machines of the earlier ones are being replaced. */
+    public boolean hasUnannouncedBuild() {
+        return !builds.isEmpty() && isUnannounced(builds.get(builds.size() - 1));
+    }
+
+    /** The newest listed build if it is on trial, otherwise null; none is before the desk's first report. */
     public Build trialBuild() {
-        Build last = builds.isEmpty() ? null : builds.get(builds.size() - 1);
+        Build last = builds.isEmpty() || newestBuild == null ? null : builds.get(builds.size() - 1);
         return last != null && isOnTrial(last) ? last : null;
     }
 
-    /** Whether an RPC with this key was sent to the newest build; false for null. */
-    public boolean isRoutedToNewest(String key) {
-        return newestBuild != null && newestBuild.routedKeys.contains(key);
+    /**
+     * The build that RPCs with this key stay with, or go to a later one: the latest that one was sent to, of the newest
+     * build, while it is active, and the unannounced ones, which count as on trial. Null if there is none.
+     */
+    public Build buildKeeping(String key) {
+        for (int i = builds.size() - 1; i >= 0; i--) {
+            Build build = builds.get(i);
+            boolean keepsKeys = isUnannounced(build) || build == newestBuild && isNewestActive();
+            if (keepsKeys && build.routedKeys.contains(key)) {
+                return build;
+            }
+        }
+        return null;
     }
 
     /** Whether the newest build is on trial or released: votes count and keys stay with the build. */
--- a/src/main/java/honeygap/rules/discovery/ListLease.java
+++ b/src/main/java/honeygap/rules/discovery/ListLease.java
@@ -15,7 +15,8 @@
  * serving when the pick was sent, which gives it a lease of its own from that time. On a newer connection the answer
  * may come from another process, which was drained and has restarted unlisted.
  * <li>It runs the newest build, and the desk's last report is no older than the lease. Machines are drained only when a
- * newer build replaces theirs or theirs is rolled back, and the desk reports both.
+ * newer build replaces theirs or theirs is rolled back, and the desk reports both. The list may have the newer build
+ * before the desk's report arrives, which ends this case.
  * </ul>
  *
  * <p>An appliance that refuses a pick while no watch is open may be draining, and gets no picks for a back-off time.
@@ -101,7 +102,7 @@
      * back. An appliance that did not respond since the list was confirmed is excluded: it may have been removed.
      */
     private boolean isOfNewestBuild(Appliance appliance) {
-        return appliance.lastUnansweredAt <= confirmedAt && fleet.isNewestActive()
+        return appliance.lastUnansweredAt <= confirmedAt && fleet.isNewestActive() && !fleet.hasUnannouncedBuild()
                 && appliance.build == fleet.newestBuild && fleet.now < fleet.rolloutReportedAt + leaseDuration;
     }
 
--- a/src/main/java/honeygap/rules/exposure/ExposureLimit.java
+++ b/src/main/java/honeygap/rules/exposure/ExposureLimit.java
@@ -34,9 +34,11 @@
 
     /** Whether a pick of this method may be sent to the build now, by stage, cap and rolling count. */
     public boolean allows(Build build, Method method) {
-        boolean isTrial = fleet.isOnTrial(build), isLater = isTrial && build.number > fleet.newestBuild.number;
+        boolean isTrial = fleet.isOnTrial(build), isLater = fleet.isUnannounced(build);
         int stage = isLater ? 0 : fleet.stage;
-        double firstCap = exposure.caps().length > 0 ? exposure.caps()[0] : 0;
+        // Without stages there may be no desk, which then never reports the build.
+        double capWithoutStages = fleet.newestBuild == null ? 1 : 0;
+        double firstCap = exposure.caps().length > 0 ? exposure.caps()[0] : capWithoutStages;
         double currentCap = fleet.phase == Build.ON_TRIAL || fleet.phase == Build.ROLLING_BACK ? fleet.cap : 0;
         double cap = !isTrial ? 0 : isLater ? firstCap : currentCap;
         if (cap <= 0 || stage < exposure.idempotentOnlyStages() && method.effect != Method.IDEMPOTENT) {
@@ -55,9 +57,11 @@
         return build.exposedCounts[group] + 1 <= exposure.freeAllowance() + cap * received.size();
     }
 
-    /** A key that was sent to the newest build is not sent to an earlier one until the build is rolled back. */
-    public boolean allowsKey(Rpc rpc, Build build) {
-        return !exposure.stickyKeys() || !fleet.isNewestActive() || fleet.isNewestOrLater(build)
-                || !fleet.isRoutedToNewest(rpc.key);
+    /**
+     * A key that was sent to a build on trial or released is not sent to an earlier one until that build is rolled back.
+     * A build that the list has and the desk has not reported yet is on trial. Null: the RPC may go to all builds.
+     */
+    public Build earliestBuildFor(Rpc rpc) {
+        return exposure.stickyKeys() && rpc.key != null ? fleet.buildKeeping(rpc.key) : null;
     }
 }
--- a/src/main/java/honeygap/rules/routing/ApplianceSelector.java
+++ b/src/main/java/honeygap/rules/routing/ApplianceSelector.java
@@ -27,19 +27,21 @@
         }
     }
 
-    private boolean isAllowed(Rpc rpc, Appliance appliance, Pick mayHaveRun) {
+    private boolean isAllowed(Rpc rpc, Appliance appliance, Pick mayHaveRun, Build earliestBuild) {
         Zone zone = appliance.zone;
         Build build = appliance.build;
         return appliance.state == Appliance.UP && lease.covers(appliance) && fleet.now >= appliance.retryAfterUntil
                 && (fleet.now >= zone.limitedUntil || zone.inFlight < zone.maxInFlight)
-                && exposureLimit.allowsKey(rpc, build)
+                && (earliestBuild == null || build.number >= earliestBuild.number)
                 && retryPolicy.dropsDuplicate(rpc, mayHaveRun, appliance) && concurrencyLimits.hasCapacity(build, rpc)
                 && exposureLimit.allows(build, rpc.method) && coldStartLimit.allows(appliance, rpc);
     }
 
     public Appliance select(Rpc rpc, Pick mayHaveRun) {
         Build trialBuild = fleet.trialBuild();
-        List<Appliance> allowed = fleet.appliances.stream().filter(a -> isAllowed(rpc, a, mayHaveRun)).toList();
+        Build earliestBuild = exposureLimit.earliestBuildFor(rpc);
+        List<Appliance> allowed = fleet.appliances.stream()
+                .filter(a -> isAllowed(rpc, a, mayHaveRun, earliestBuild)).toList();
         List<Appliance> allowedNew = allowed.stream().filter(a -> a.build == trialBuild).toList();
         // Among the builds not on trial only the newest counts, such as one just released.
         int newestOld = allowed.stream().mapToInt(a -> a.build == trialBuild ? 0 : a.build.number).max().orElse(0);
