--- a/src/test/java/honeygap/manage/FleetTest.java
+++ b/src/test/java/honeygap/manage/FleetTest.java
@@ -16,12 +16,10 @@
 import com.fasterxml.jackson.core.JsonParser;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -128,29 +126,6 @@
         instances.forEach(Instance::stop);
     }
 
-    /** Guards against callers that stop in the middle of a request and each keep a thread of the manager for good. */
-    @Test
-    void callersThatStopTakeFewThreads() throws Exception {
-        Set<Thread> before = Thread.getAllStackTraces().keySet();
-        startManager();
-        List<Socket> stopped = new ArrayList<>();
-        try {
-            for (int i = 0; i < 100; i++) {
-                Socket socket = new Socket(manager.address().getAddress(), manager.address().getPort());
-                stopped.add(socket);
-                socket.getOutputStream().write("POST /v1/operations HTTP/1.1\r\nContent-Length: 9\r\n".getBytes(StandardCharsets.US_ASCII));
-            }
-            assertTrue(sendToManager("GET", "/v1/fleet", "").startsWith("200"));
-            long threads = Thread.getAllStackTraces().keySet().stream()
-                    .filter(thread -> thread.getName().equals("asked") && !before.contains(thread)).count();
-            assertTrue(threads <= 32, threads + " threads");
-        } finally {
-            for (Socket socket : stopped) {
-                socket.close();
-            }
-        }
-    }
-
     private String sendToManager(String method, String path, String body) throws Exception {
         return send(manager.address().getPort(), method, path, body, "open");
     }
