A reload ends all evidence that an appliance serves, each at its own time

Cause: ListLease.discoveryMoved shortened the lease of the list alone; an appliance's own answers and the desk's word covered it for six seconds as before. A second reload gave the time of the first one back, a reload counted from when its file had been read, and not at all where it could not be; a pick was not asked again after a long dial. Change: each reload has a deadline, counted from its request; evidence of any kind from before it is void once it has passed, unless a watch is open and has lately shown a sign of life. The desk's word is not used for a while once the desk was seen to be late. UpstreamConnection asks again before it sends. ListLeaseRulesTest passes; RulesTest, RaceConditionTest, ListLeaseTest, UnannouncedBuildTest and ArchitectureTest pass.

--- a/src/main/java/honeygap/DecisionEngine.java
+++ b/src/main/java/honeygap/DecisionEngine.java
@@ -237,6 +237,16 @@
         lease.discoveryMoved();
     }
 
+    /** A reload of the configuration was requested at this time. */
+    public void reloadRequested(long at) {
+        lease.reloadRequested(at);
+    }
+
+    /** Whether the appliance is known to serve now. */
+    public boolean isKnownToServe(Appliance appliance) {
+        return lease.covers(appliance);
+    }
+
     /** The process has received the signal to shut down. */
     public void shutdownStarted(ShutdownSchedule schedule) {
         shutdown.begin(schedule);
--- a/src/main/java/honeygap/fleet/Fleet.java
+++ b/src/main/java/honeygap/fleet/Fleet.java
@@ -37,6 +37,9 @@
     public long stageSince;
     /** Lower bound of the time of that report: it may have arrived at any time since the previous iteration. */
     public long rolloutReportedAt = LONG_AGO;
+    /** For how long after the last change the desk still reported the state before it, and when that became known. */
+    public long staleReportSpan;
+    public long staleReportKnownAt = LONG_AGO;
     /** The build that is evaluated; all other builds together are its baseline. */
     public Build evaluatedBuild;
     /** Appliances of earlier builds that were up when its evaluation began. */
@@ -106,6 +109,10 @@
         if (build != newestBuild) {
             builds.stream().filter(b -> b.number < build.number).forEach(b -> b.routedKeys.clear());
         }
+        if (build != newestBuild || phase != this.phase || stage != this.stage) {
+            staleReportSpan = rolloutReportedAt - stageSince;
+            staleReportKnownAt = now;
+        }
         build.answersInStage = build == newestBuild && stage == this.stage ? build.answersInStage : 0;
         newestBuild = build;
         this.phase = phase;
--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -170,6 +170,9 @@
      * be applied last.
      */
     public void reload(List<Source> sources) {
+        // What the signal brings about is counted from here, however long the reading takes and even if it fails.
+        long requestedAt = loop.clock();
+        loop.post(() -> protocols.forEach(protocol -> protocol.reloadRequested(requestedAt)));
         // A lock of its own rather than this object's: slow reads must not delay a shutdown.
         synchronized (reloadLock) {
             readAndApply(sources);
--- a/src/main/java/honeygap/net/FlagProtocol.java
+++ b/src/main/java/honeygap/net/FlagProtocol.java
@@ -161,6 +161,11 @@
         applyServers(newSettings);
     }
 
+    @Override
+    public void reloadRequested(long at) {
+        rules.reloadRequested(at);
+    }
+
     @Override
     public long longestDeadline() {
         return settings.methods.stream().mapToLong(method -> method.deadline).max().orElse(0);
--- a/src/main/java/honeygap/net/PostgresProtocol.java
+++ b/src/main/java/honeygap/net/PostgresProtocol.java
@@ -144,6 +144,11 @@
         };
     }
 
+    @Override
+    public void reloadRequested(long at) {
+        rules.reloadRequested(at);
+    }
+
     @Override
     public void shareLoad(LoadSharing sharing) {
         sharing.publish(discovery.inFlight());
--- a/src/main/java/honeygap/net/Protocol.java
+++ b/src/main/java/honeygap/net/Protocol.java
@@ -31,6 +31,9 @@
     /** The longest deadline of all methods, in tenths of a millisecond; callable from any thread. */
     long longestDeadline();
 
+    /** A reload of the configuration was requested at this time, in tenths of a millisecond; on the loop. */
+    void reloadRequested(long at);
+
     /** A shutdown was requested and follows this schedule; on the loop. */
     void shutDown(ShutdownSchedule schedule);
 
--- a/src/main/java/honeygap/net/upstream/ConnectionPool.java
+++ b/src/main/java/honeygap/net/upstream/ConnectionPool.java
@@ -175,6 +175,11 @@
         }
     }
 
+    /** Whether a pick that was decided a while ago may still be sent to the appliance. */
+    boolean isKnownToServe(RemoteAppliance appliance) {
+        return rules.isKnownToServe(appliance);
+    }
+
     void countReleasedForMemory() {
         releasedForMemoryCount++;
     }
--- a/src/main/java/honeygap/net/upstream/UpstreamConnection.java
+++ b/src/main/java/honeygap/net/upstream/UpstreamConnection.java
@@ -133,10 +133,19 @@
         return false;
     }
 
+    /**
+     * While the connection was being established or had a pause, the RPC may have been answered or abandoned by its
+     * client, and the appliance may have begun to drain, may no longer be known to serve, or its address may have passed
+     * to another process: then the pick is not sent.
+     */
+    private boolean mayStillSend() {
+        return !call.closed && isCurrent() && pool.isKnownToServe(appliance);
+    }
+
     private void sendAfterPause() {
         if (pool.loop.now() >= timeoutAt) {
             onTimeout();
-        } else if (call.closed || !isCurrent()) {
+        } else if (!mayStillSend()) {
             detachCall(Pick.NOT_EXECUTED);
             becomeIdle();
         } else if (!hasNoPendingInput()) {
@@ -248,9 +257,7 @@
         }
         isProbing &= !isReady;
         isReady = true;
-        if (call != null && (call.closed || !isCurrent())) {
-            // While the connection was being established, the RPC was answered or abandoned by its client, or the
-            // appliance began to drain or its address passed to another process: don't send the pick.
+        if (call != null && !mayStillSend()) {
             detachCall(Pick.NOT_EXECUTED);
         }
         if (call != null) {
--- a/src/main/java/honeygap/rules/discovery/ListLease.java
+++ b/src/main/java/honeygap/rules/discovery/ListLease.java
@@ -4,6 +4,7 @@
 import honeygap.fleet.Fleet;
 import honeygap.fleet.Pick;
 import honeygap.settings.ListSettings;
+import java.util.ArrayDeque;
 
 /**
  * Determines which appliances are still known to serve. The list from discovery is a lease: it is valid for a bounded
@@ -19,14 +20,25 @@
  * before the desk's report arrives, which ends this case.
  * </ul>
  *
+ * <p>All of these are leases: they rest on evidence of a certain time. Some time after a reload of the configuration,
+ * which may move discovery, whatever discovery has to report counts as reported. Unless a watch is open then, evidence
+ * of any kind from before that time is void from then on.
+ *
  * <p>An appliance that refuses a pick while no watch is open may be draining, and gets no picks for a back-off time.
  */
 public final class ListLease {
 
     /** Share of the lease by which a heartbeat may precede changes that still wait in discovery's queue. */
     private static final double HEARTBEAT_LEAD = 1.0 / 6;
-    /** Share of the lease that remains at most after discovery has moved to another address. */
-    private static final double REMAINING_AFTER_MOVE = 2.0 / 3;
+    /** Share of the lease after which all changes count as reported, from a reload of the configuration on. */
+    private static final double REPORTED_AFTER_RELOAD = 2.0 / 3;
+    /** Share of the lease within which an open watch shows a sign of life: an interval between heartbeats, and some delay. */
+    private static final double MAX_SIGN_INTERVAL = 5.0 / 12;
+    /**
+     * A desk that still reported a state for longer than this after it had changed, as a share of the lease, counts as
+     * late for this multiple of the lease.
+     */
+    private static final double MAX_STALE_REPORTS = 1.0 / 3, DESK_LATE_LEASES = 2.5;
     /** Back-off after an appliance's first refusal, as a share of the lease; each further refusal doubles it. */
     private static final double FIRST_REFUSAL_BACKOFF = 1.0 / 24;
     /** How long a starting agent waits for its first list before it accepts clients, as a share of the lease. */
@@ -37,6 +49,11 @@
     private final long startedAt;
     private long confirmedAt = Fleet.LONG_AGO;
     private boolean isWatched;
+    /** When the open watch last showed a sign of life; long ago if none is open. */
+    private long watchSignAt = Fleet.LONG_AGO;
+    /** Times from which on all earlier changes count as reported, and the last one for which no watch was open. */
+    private final ArrayDeque<Long> reportDeadlines = new ArrayDeque<>();
+    private long evidenceFrom = Fleet.LONG_AGO;
 
     public ListLease(Fleet fleet, ListSettings settings) {
         this.fleet = fleet;
@@ -46,6 +63,8 @@
 
     /** Discovery has reported all changes up to this time, so the whole list is current. */
     public void confirm(long asOf) {
+        passDeadlines();
+        watchSignAt = asOf;
         if (!isWatched) {
             fleet.appliances.forEach(appliance -> appliance.consecutiveRefusals = 0);
         }
@@ -55,18 +74,43 @@
 
     /** Discovery has reported that nothing has changed; a change may still wait in its queue. */
     public void heartbeat(long asOf) {
+        passDeadlines();
+        watchSignAt = asOf;
         confirmedAt = Math.max(confirmedAt, asOf - (long) (HEARTBEAT_LEAD * leaseDuration));
     }
 
     /** The watch has ended; changes are no longer reported. */
     public void watchLost() {
+        passDeadlines();
         isWatched = false;
+        watchSignAt = Fleet.LONG_AGO;
+    }
+
+    /** A reload of the configuration was requested at this time, whether or not the configuration could be read. */
+    public void reloadRequested(long at) {
+        passDeadlines();
+        reportDeadlines.addLast(at + (long) (REPORTED_AFTER_RELOAD * leaseDuration));
     }
 
     /** The address of discovery has changed; the new one may have reported changes that this agent lacks. */
     public void discoveryMoved() {
-        isWatched = false;
-        confirmedAt = Math.min(confirmedAt, fleet.now - (long) ((1 - REMAINING_AFTER_MOVE) * leaseDuration));
+        watchLost();
+        reloadRequested(fleet.now);
+    }
+
+    /** Decides for each deadline that has passed whether the evidence from before it is void. */
+    private void passDeadlines() {
+        while (!reportDeadlines.isEmpty() && reportDeadlines.peekFirst() <= fleet.now) {
+            long deadline = reportDeadlines.removeFirst();
+            boolean isWatchAlive = watchSignAt >= deadline - (long) (MAX_SIGN_INTERVAL * leaseDuration);
+            evidenceFrom = isWatchAlive ? evidenceFrom : Math.max(evidenceFrom, deadline);
+        }
+    }
+
+    /** Whether evidence of this time still shows that an appliance serves. */
+    private boolean isValid(long evidenceAt) {
+        passDeadlines();
+        return evidenceAt >= evidenceFrom && fleet.now < evidenceAt + leaseDuration;
     }
 
     /** A pick has ended: an answer can show that its appliance was serving, a refusal that it may be draining. */
@@ -88,22 +132,29 @@
 
     /** Whether the list itself is within its lease. */
     public boolean isConfirmed() {
-        return leaseDuration == 0 || fleet.now < confirmedAt + leaseDuration;
+        return leaseDuration == 0 || isValid(confirmedAt);
     }
 
     /** Whether the appliance is known to serve, from the list, its own answers or the rollout. */
     public boolean covers(Appliance appliance) {
         return leaseDuration == 0 || !isBackingOff(appliance)
-                && (isConfirmed() || fleet.now < appliance.lastServedAt + leaseDuration || isOfNewestBuild(appliance));
+                && (isConfirmed() || isValid(appliance.lastServedAt) || isOfNewestBuild(appliance));
     }
 
     /**
      * Whether the desk has reported within the lease time that this appliance's build is the newest and not rolled
-     * back. An appliance that did not respond since the list was confirmed is excluded: it may have been removed.
+     * back. An appliance that did not respond since the list was confirmed is excluded: it may have been removed. So is
+     * every appliance while the desk is late, as its word may then be older than a drain.
      */
     private boolean isOfNewestBuild(Appliance appliance) {
         return appliance.lastUnansweredAt <= confirmedAt && fleet.isNewestActive() && !fleet.hasUnannouncedBuild()
-                && appliance.build == fleet.newestBuild && fleet.now < fleet.rolloutReportedAt + leaseDuration;
+                && appliance.build == fleet.newestBuild && isValid(fleet.rolloutReportedAt)
+                && !isDeskLate();
+    }
+
+    private boolean isDeskLate() {
+        return fleet.staleReportSpan > (long) (MAX_STALE_REPORTS * leaseDuration)
+                && fleet.now < fleet.staleReportKnownAt + (long) (DESK_LATE_LEASES * leaseDuration);
     }
 
     private boolean isBackingOff(Appliance appliance) {
--- a/src/test/java/honeygap/rules/discovery/ListLeaseRulesTest.java
+++ b/src/test/java/honeygap/rules/discovery/ListLeaseRulesTest.java
@@ -185,6 +185,91 @@
         assertFalse(at(5).lease.covers(first));
     }
 
+    /**
+     * Guards against picks at appliances whose drain counts as reported: four seconds after a reload, with no watch at
+     * the new address, neither the list nor an answer nor the desk's report of before that time covers an appliance.
+     */
+    @Test
+    void noEvidenceFromBeforeOutlivesAReload() {
+        lease.confirm(0);
+        fleet.rolloutReported(build, Build.RELEASED, 0, 1, 0);
+        at(1).lease.discoveryMoved();
+        endPick(first, 3, 3.2, Pick.OK);
+        fleet.rolloutReportedAt = 4 * SECOND;
+        assertTrue(at(4.9).lease.covers(first));
+        assertTrue(lease.covers(second), "by the desk's report");
+        assertFalse(at(5).lease.covers(first));
+        assertFalse(lease.covers(second));
+        fleet.rolloutReportedAt = (long) (5.5 * SECOND);
+        assertTrue(at(5.5).lease.covers(first), "a later report");
+    }
+
+    /** Each of several reloads in quick succession has its own time; a watch opened in between was lost again. */
+    @Test
+    void eachReloadEndsEarlierEvidence() {
+        at(0).lease.discoveryMoved();
+        at(1).lease.confirm(SECOND);
+        at(2).lease.discoveryMoved();
+        endPick(first, 3, 3.2, Pick.OK);
+        assertTrue(at(3.9).lease.covers(first));
+        assertFalse(at(4).lease.covers(first));
+        assertFalse(lease.covers(second));
+        at(4.5).lease.confirm(fleet.now);
+        assertTrue(lease.covers(first));
+        assertTrue(at(6.1).lease.covers(first), "the watch was open at the end of the second reload's time");
+    }
+
+    /** An open watch has reported what there is to report. It has to show signs of life, or may have fallen silent. */
+    @Test
+    void openWatchOutlivesAReload() {
+        at(0).lease.discoveryMoved();
+        at(0.5).lease.confirm(fleet.now);
+        at(2.5).lease.heartbeat(fleet.now);
+        assertTrue(at(4.1).lease.covers(first));
+        at(10).lease.discoveryMoved();
+        at(10.5).lease.confirm(fleet.now);
+        assertTrue(at(13.9).lease.covers(first));
+        assertFalse(at(14).lease.covers(first), "silent for more than a heartbeat");
+        at(15.5).lease.heartbeat(fleet.now);
+        assertTrue(lease.covers(first));
+    }
+
+    /** Counted from the signal, also where the new configuration can't be read; the open watch then goes on. */
+    @Test
+    void reloadCountsFromItsRequest() {
+        lease.confirm(0);
+        at(0.3).lease.reloadRequested(0);
+        at(2).lease.watchLost();
+        assertTrue(at(3.9).lease.covers(first));
+        assertFalse(at(4).lease.covers(first));
+        at(5).lease.confirm(fleet.now);
+        lease.reloadRequested(fleet.now);
+        at(7).lease.heartbeat(fleet.now);
+        assertTrue(at(9.1).lease.covers(first));
+    }
+
+    /** A desk that reports a state long after it has changed is no evidence that nothing is drained, for some time. */
+    @Test
+    void lateDeskCoversNothing() {
+        Build newer = new Build(2, 1);
+        Appliance third = listed(3);
+        third.build = newer;
+        fleet.rolloutReported(build, Build.RELEASED, 0, 1, 0);
+        at(9);
+        fleet.previousNow = fleet.now;
+        fleet.rolloutReported(build, Build.RELEASED, 0, 1, 0);
+        assertTrue(lease.covers(first));
+        fleet.rolloutReported(newer, Build.ON_TRIAL, 0, 1, 6 * SECOND);
+        assertFalse(lease.covers(third), "the state before was reported three seconds after it had changed");
+        at(23.9);
+        fleet.rolloutReportedAt = fleet.now;
+        assertFalse(lease.covers(third));
+        assertTrue(at(24).lease.covers(third));
+        fleet.previousNow = fleet.now;
+        fleet.rolloutReported(newer, Build.ON_TRIAL, 1, 1, 23 * SECOND);
+        assertTrue(lease.covers(third), "reported in time");
+    }
+
     /** Clients are accepted with a current list, or after a wait of two thirds of the lease. */
     @Test
     void acceptsClientsWithACurrentListOrAfterAWait() {
