One client can't keep the loop from the others: shares of an iteration, one write for its answers

What callers saw: while six clients asked for TLS at full speed, answers came late or never, and connections ended with a request unread.

Cause: nothing bounded what one connection takes of an iteration. Each answer of one byte was a write of its own, and written() processed the next message inside the same flush, so that one pass of the loop took as long as the client wished. Long passes then made three other places wrong: an idle connection was closed only at the end of the pass in which it was found to be idle, a new connection counted as overdue before it was ever read, and silent connections pushed out resting ones.

Change: rules.input decides on shares (messages, bytes of answers, new connections) and on the round-robin backlog; ClientConnection asks it for all fronts. StartupSequence: one request for TLS and one for GSS encryption. Violations are counted by kind, unknown methods and statements apart. Iterations and waits for reads are measured, slow ones logged.

Why it works: the time of an iteration no longer depends on what one client sends.

--- a/src/main/java/honeygap/cli/Lab.java
+++ b/src/main/java/honeygap/cli/Lab.java
@@ -1,10 +1,11 @@
 package honeygap.cli;
 
+import honeygap.lab.soak.FloodCommand;
 import honeygap.lab.soak.SoakCommand;
 import picocli.CommandLine;
 
 /** Development tools that run the program in separate processes. */
-@CommandLine.Command(name = "lab", mixinStandardHelpOptions = true, subcommands = SoakCommand.class,
+@CommandLine.Command(name = "lab", mixinStandardHelpOptions = true, subcommands = {SoakCommand.class, FloodCommand.class},
         description = "Run the program in separate processes with injected faults.")
 final class Lab implements Runnable {
 
--- a/src/main/java/honeygap/lab/soak/SoakAgent.java
+++ b/src/main/java/honeygap/lab/soak/SoakAgent.java
@@ -226,6 +226,11 @@
         }
     }
 
+    /** Peak resident memory of the process, in kilobytes. */
+    synchronized long peakMemoryKb() throws IOException {
+        return procStatus(process.pid(), "VmHWM");
+    }
+
     private static long procStatus(long pid, String name) throws IOException {
         return Files.readAllLines(Path.of("/proc/" + pid + "/status")).stream()
                 .filter(line -> line.startsWith(name + ":"))
--- a/src/main/java/honeygap/net/Acceptor.java
+++ b/src/main/java/honeygap/net/Acceptor.java
@@ -1,5 +1,6 @@
 package honeygap.net;
 
+import honeygap.rules.input.AcceptQuota;
 import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
 import java.util.Iterator;
@@ -32,6 +33,8 @@
 
     private final Loop loop;
     private final Semaphore slots;
+    /** Permits for the connections that the loop still takes before it selects again. */
+    private final Semaphore turnPermits = new Semaphore(AcceptQuota.CONNECTIONS_PER_TURN);
     private final AtomicLong failures = new AtomicLong();
     private final SimpleIoProcessorPool<NioSession> pool;
     /** Connections that were accepted and whose handlers the loop has not opened yet. */
@@ -51,7 +54,23 @@
 
     @Override
     protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel handle) throws Exception {
-        return slots.tryAcquire(SLOT_WAIT_MS, TimeUnit.MILLISECONDS) ? acceptWithSlot(processor, handle) : null;
+        if (!turnPermits.tryAcquire(SLOT_WAIT_MS, TimeUnit.MILLISECONDS)) {
+            return null;
+        }
+        boolean hasSlot = slots.tryAcquire(SLOT_WAIT_MS, TimeUnit.MILLISECONDS);
+        NioSession session = hasSlot ? acceptWithSlot(processor, handle) : null;
+        if (session == null) {
+            turnPermits.release();
+        }
+        return session;
+    }
+
+    /** The loop has begun another iteration; called by its thread alone. */
+    void renewTurnPermits() {
+        int used = AcceptQuota.CONNECTIONS_PER_TURN - turnPermits.availablePermits();
+        if (used > 0) {
+            turnPermits.release(used);
+        }
     }
 
     /** Accepts a connection for a slot that has been acquired; releases the slot if there is no connection. */
--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -146,8 +146,10 @@
             group.count("not read", failedReloads);
             group.count("accept failures", loop.acceptFailures());
             group.count("own dial failures", loop.localConnectFailures());
+            group.count("closed before opened", loop.closedBeforeOpened());
             group.count("first RPC ms", loop.firstRpcMs());
         });
+        counters.group("loop", loop.turnStatistics::report);
         protocols.forEach(protocol -> protocol.report(counters));
         otherCounters.forEach(counters::group);
         return counters;
--- a/src/main/java/honeygap/net/IoEventDispatcher.java
+++ b/src/main/java/honeygap/net/IoEventDispatcher.java
@@ -42,6 +42,7 @@
 
     @Override
     public void sessionOpened(IoSession session) {
+        loop.turnStatistics.add(TurnStatistics.Activity.CONNECTION_OPENED);
         if (loop.trafficListener != null) {
             session.setAttribute(CONNECTION_NUMBER, ++loop.lastConnectionNumber);
             loop.trafficListener.opened(loop.lastConnectionNumber, session.getLocalAddress(),
@@ -55,6 +56,7 @@
 
     @Override
     public void messageReceived(IoSession session, Object message) {
+        loop.turnStatistics.add(TurnStatistics.Activity.READ);
         if (loop.trafficListener != null) {
             loop.trafficListener.received(connectionNumber(session), ((IoBuffer) message).buf());
         }
@@ -68,6 +70,7 @@
 
     @Override
     public void sessionClosed(IoSession session) {
+        loop.turnStatistics.add(TurnStatistics.Activity.CONNECTION_CLOSED);
         if (loop.trafficListener != null) {
             loop.trafficListener.closed(connectionNumber(session));
         }
--- a/src/main/java/honeygap/net/Loop.java
+++ b/src/main/java/honeygap/net/Loop.java
@@ -1,5 +1,6 @@
 package honeygap.net;
 
+import honeygap.rules.input.InputBacklog;
 import honeygap.rules.memory.MemoryBudget;
 import java.io.IOException;
 import java.net.ConnectException;
@@ -7,13 +8,14 @@
 import java.net.NoRouteToHostException;
 import java.net.SocketException;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executor;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -104,11 +106,15 @@
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final SimpleIoProcessorPool<NioSession> processorPool;
     private final NioSocketConnector connector;
-    private final List<Acceptor> acceptors = new ArrayList<>();
+    private final List<Acceptor> acceptors = new CopyOnWriteArrayList<>();
     private final AtomicLong localConnectFailures = new AtomicLong();
     private final long clockOriginNanos = System.nanoTime();
     private final boolean isBusyWaiting;
     private final MemoryBudget memory;
+    private final InputBacklog backlog = new InputBacklog();
+    final TurnStatistics turnStatistics = new TurnStatistics(new OncePerSecond(this));
+    private final AtomicLong closedBeforeOpened = new AtomicLong();
+    private long selections;
     private long nextTimerSequence;
     private int cancelledTimers;
     private long now;
@@ -144,7 +150,12 @@
         ExceptionMonitor.setInstance(new ExceptionMonitor() {
             @Override
             public void exceptionCaught(Throwable cause) {
-                reportFault(cause);
+                if (cause instanceof ClosedChannelException) {
+                    // A connection attempt that was abandoned while its connection waited for the loop.
+                    closedBeforeOpened.incrementAndGet();
+                } else {
+                    reportFault(cause);
+                }
             }
         });
         processorPool = new SimpleIoProcessorPool<>(LoopProcessor.class, this, 1, null);
@@ -224,6 +235,29 @@
         return memory;
     }
 
+    /** The connections whose input has exceeded their share of an iteration; on the loop's thread only. */
+    public InputBacklog backlog() {
+        return backlog;
+    }
+
+    /** The system has been asked again which connections are readable. */
+    void onSelected() {
+        selections++;
+        for (Acceptor acceptor : acceptors) {
+            acceptor.renewTurnPermits();
+        }
+    }
+
+    /** How often the system was asked which connections are readable. */
+    public long selections() {
+        return selections;
+    }
+
+    /** Connections that were closed before the loop opened them. */
+    long closedBeforeOpened() {
+        return closedBeforeOpened.get();
+    }
+
     /** Tenths of a millisecond since the loop was created. */
     public long clock() {
         return (System.nanoTime() - clockOriginNanos) / 100_000;
@@ -383,15 +417,19 @@
         }
     }
 
-    /** Reads the input that has arrived and was not read yet; empty if there is none or the connection was closed. */
+    /**
+     * Reads input that has arrived and was not read yet; empty if there is none. If the remote side has closed the
+     * connection, it is closed here too.
+     */
     public ByteBuffer readPending(IoSession session) {
         ByteBuffer bytes = ByteBuffer.allocate(INITIAL_READ_BUFFER_BYTES);
         try {
-            if (session.getAttribute(LoopProcessor.CHANNEL) instanceof SocketChannel channel) {
-                channel.read(bytes);
+            if (session.getAttribute(LoopProcessor.CHANNEL) instanceof SocketChannel channel && channel.read(bytes) < 0) {
+                session.closeNow();
             }
         } catch (IOException e) {
             Logger.debug(e, "already closed");
+            session.closeNow();
         }
         bytes.flip();
         if (trafficListener != null && bytes.hasRemaining()) {
@@ -497,6 +535,22 @@
         for (Stepper stepper : steppers) {
             runGuarded(() -> stepper.startIteration(now));
         }
+        runTasksAndDecisions();
+        if (!backlog.isEmpty()) {
+            processBacklog();
+            runTasksAndDecisions();
+        }
+    }
+
+    /** Processes input that was left over, after the decisions on all other input. */
+    private void processBacklog() {
+        backlog.startTurn();
+        for (InputBacklog.Waiting next = backlog.next(); next != null; next = backlog.next()) {
+            runGuarded(next::processBacklog);
+        }
+    }
+
+    private void runTasksAndDecisions() {
         boolean more = true;
         while (more) {
             for (Runnable task = postedTasks.poll(); task != null; task = postedTasks.poll()) {
@@ -505,6 +559,7 @@
             while (!timers.isEmpty() && (timers.peek().task == null || timers.peek().dueAt <= now)) {
                 Runnable task = timers.poll().task;
                 if (task != null) {
+                    turnStatistics.add(TurnStatistics.Activity.TIMER);
                     runGuarded(task);
                 }
             }
@@ -539,8 +594,11 @@
         }
     }
 
-    /** Milliseconds until the next timer is due, rounded up. */
+    /** Milliseconds until the next timer is due, rounded up; 0 while input waits for its turn. */
     long millisUntilNextTimer() {
+        if (!backlog.isEmpty()) {
+            return 0;
+        }
         while (!timers.isEmpty() && timers.peek().task == null) {
             timers.poll();
         }
--- a/src/main/java/honeygap/net/LoopProcessor.java
+++ b/src/main/java/honeygap/net/LoopProcessor.java
@@ -15,6 +15,7 @@
     static final AttributeKey CHANNEL = new AttributeKey(LoopProcessor.class, "channel");
 
     private final Loop loop;
+    private boolean hasSkippedSelection;
 
     /** MINA's processor pool passes its executor, which is the loop. */
     public LoopProcessor(Executor loop) {
@@ -25,14 +26,23 @@
 
     /**
      * Returns only when there is work: MINA takes short waits without events for a broken selector and would replace
-     * it, registering all sockets anew.
+     * it, registering all sockets anew. What the iteration has written is flushed before more input is read, so that
+     * decisions don't wait behind it.
      */
     @Override
     protected int select(long timeout) throws Exception {
         while (true) {
             loop.runIteration();
             long wait = loop.millisUntilNextTimer();
+            loop.turnStatistics.endTurn();
+            hasSkippedSelection = wakeupCalled.get() && !hasSkippedSelection;
+            if (hasSkippedSelection) {
+                loop.turnStatistics.startTurn();
+                return 0;
+            }
             int ready = wakeupCalled.get() || wait <= 0 ? selector.selectNow() : selector.select(wait);
+            loop.turnStatistics.startTurn();
+            loop.onSelected();
             if (ready > 0 || wakeupCalled.get()) {
                 return ready;
             }
@@ -66,6 +76,7 @@
 
     @Override
     protected int write(NioSession session, IoBuffer bytes, int length) throws IOException {
+        loop.turnStatistics.add(TurnStatistics.Activity.WRITE);
         return bytes instanceof GatheringBuffer gathered
                 ? gathered.writeTo((GatheringByteChannel) session.getAttribute(CHANNEL), loop.trafficListener, session)
                 : super.write(session, bytes, length);
--- a/src/main/java/honeygap/net/PostgresProtocol.java
+++ b/src/main/java/honeygap/net/PostgresProtocol.java
@@ -33,6 +33,8 @@
      * Clients get at most one in this many of the descriptors; half of that is kept free for new clients.
      */
     private static final int CLIENT_DESCRIPTOR_DIVISOR = 3;
+    /** Connections that may wait to be accepted: where there are more, their clients try again only after a second. */
+    private static final int MIN_ACCEPT_BACKLOG = 4096;
     /** How long the code is warmed up before the agent listens, in milliseconds. */
     private static final long WARM_UP_MS = 50;
 
@@ -122,7 +124,7 @@
 
     @Override
     public InetSocketAddress listen() throws IOException {
-        return loop.listen(listenAddress, 2 * maxConnections, clients.maxAcceptedConnections(), clients::newHandler);
+        return loop.listen(listenAddress, Math.max(MIN_ACCEPT_BACKLOG, 2 * maxConnections), clients.maxAcceptedConnections(), clients::newHandler);
     }
 
     /**
--- a/src/main/java/honeygap/net/admin/AdminConnection.java
+++ b/src/main/java/honeygap/net/admin/AdminConnection.java
@@ -88,10 +88,10 @@
     @Override
     protected void processInput() {
         try {
-            if (canRead() && requests.next()) {
+            if (mayProcessNext() && requests.next()) {
                 hasSentRequest = true;
                 requestReceived();
-                if (endpoint.connections.rejectsRequest()) {
+                if (endpoint.connections.rejectsRequest(this)) {
                     writeAndClose(tooManyConnectionsResponse());
                 } else if (endpoint.connections.lacksMemory()) {
                     writeAndClose(outOfMemoryResponse());
@@ -104,6 +104,12 @@
         }
     }
 
+    @Override
+    protected void rejectQueuedInput() {
+        isResponsePending = false;
+        writeAndClose(response(413, "{\"error\":\"too much input at once\"}".getBytes(StandardCharsets.US_ASCII), false));
+    }
+
     private byte[] errorBody(Refusal e) {
         try {
             return endpoint.error(e.getMessage());
--- a/src/main/java/honeygap/net/clients/PgClientConnection.java
+++ b/src/main/java/honeygap/net/clients/PgClientConnection.java
@@ -2,9 +2,11 @@
 
 import honeygap.net.connections.ClientConnection;
 import honeygap.net.pg.FrameDecoder;
+import honeygap.net.pg.PgMessages;
+import honeygap.net.pg.ProtocolViolation;
 import honeygap.net.pg.Query;
+import honeygap.net.pg.StartupSequence;
 import honeygap.net.pg.Statement;
-import honeygap.net.pg.PgMessages;
 import honeygap.net.shutdown.ShutdownEvent;
 import honeygap.config.Malformed;
 import java.nio.ByteBuffer;
@@ -28,6 +30,7 @@
 
     private final PgClients clients;
     private final FrameDecoder decoder = new FrameDecoder(MAX_MESSAGE_LENGTH);
+    private final StartupSequence startup = new StartupSequence();
     private boolean started;
     private Query call;
 
@@ -104,48 +107,45 @@
     @Override
     protected void processInput() {
         try {
-            while (canRead() && (started ? decoder.next() : decoder.nextUntyped(MAX_STARTUP_LENGTH))) {
+            while (mayProcessNext() && (started ? decoder.next() : decoder.nextUntyped(MAX_STARTUP_LENGTH))) {
                 if (started) {
                     handleMessage();
                 } else {
                     handleStartup(decoder.body());
                 }
             }
+            if (!isEnding() && started && decoder.hasMoreMessagesThan(MAX_QUEUED_MESSAGES)) {
+                throw new ProtocolViolation(ProtocolViolation.Kind.QUEUE, "too many commands at once");
+            }
+        } catch (ProtocolViolation e) {
+            reject(e);
         } catch (Malformed e) {
-            rejectMalformed(e.getMessage());
-        }
-        if (!isEnding() && started && decoder.hasMoreMessagesThan(MAX_QUEUED_MESSAGES)) {
-            rejectMalformed("too many commands at once");
+            reject(new ProtocolViolation(ProtocolViolation.Kind.MESSAGE_TYPE, e.getMessage()));
         }
         decoder.endInput();
     }
 
-    private void handleStartup(ByteBuffer body) throws Malformed {
-        if (body.remaining() < 4) {
-            throw new Malformed("a startup of length " + body.remaining());
-        }
-        switch (body.getInt(0)) {
-            case PgMessages.SSL_REQUEST:
-            case PgMessages.GSSENC_REQUEST:
-                write(PgMessages.encryptionRefused());
-                break;
-            case PgMessages.PROTOCOL_3:
+    @Override
+    protected void rejectQueuedInput() {
+        reject(new ProtocolViolation(ProtocolViolation.Kind.QUEUE, "too much input at once"));
+    }
+
+    private void handleStartup(ByteBuffer body) throws ProtocolViolation {
+        switch (startup.next(body)) {
+            case ENCRYPTION -> write(PgMessages.encryptionRefused());
+            case START -> {
                 started = true;
-                if (clients.connections.rejectsRequest()) {
+                if (clients.connections.rejectsRequest(this)) {
                     writeAndClose(tooManyConnectionsResponse());
                 } else {
                     write(PgMessages.startupResponse());
                 }
-                break;
-            case PgMessages.CANCEL_REQUEST:
-                closeNow();
-                break;
-            default:
-                throw new Malformed("an unknown protocol version");
+            }
+            case CANCEL -> closeNow();
         }
     }
 
-    private void handleMessage() throws Malformed {
+    private void handleMessage() throws ProtocolViolation {
         switch (decoder.type()) {
             case 'Q':
                 handleQuery(decoder.body());
@@ -154,14 +154,14 @@
                 closeNow();
                 break;
             default:
-                throw new Malformed("only simple queries are taken");
+                throw new ProtocolViolation(ProtocolViolation.Kind.MESSAGE_TYPE, "only simple queries are taken");
         }
     }
 
-    private void handleQuery(ByteBuffer body) throws Malformed {
+    private void handleQuery(ByteBuffer body) throws ProtocolViolation {
         requestReceived();
         if (!body.hasRemaining() || body.get(body.limit() - 1) != 0) {
-            throw new Malformed("a query without an end");
+            throw new ProtocolViolation(ProtocolViolation.Kind.UNTERMINATED_QUERY, "a query without an end");
         }
         Statement statement = clients.statement;
         if (statement.parse(body)) {
@@ -171,6 +171,7 @@
             }
             call = clients.openRpc(this, statement);
             if (call != null) {
+                rpcOpened();
                 clients.submit(call);
             } else {
                 write(PgMessages.error(PgMessages.SYNTAX_ERROR, "unknown method, or an id that is open", 0));
@@ -186,7 +187,7 @@
         } else if (command.equals("SET") || command.equals("RESET") || command.equals("DISCARD")) {
             write(PgMessages.setComplete());
         } else {
-            clients.countUnknown();
+            clients.countUnknownStatement();
             write(PgMessages.error(PgMessages.SYNTAX_ERROR, "not a statement that is taken here", 0));
         }
     }
@@ -231,9 +232,9 @@
      * Ends the connection, because the bytes after a malformed message can't be interpreted. The final error
      * message also serves as the response to an open RPC.
      */
-    private void rejectMalformed(String reason) {
-        clients.countMalformed();
+    private void reject(ProtocolViolation violation) {
+        clients.countViolation(violation.kind);
         abandonRpc();
-        writeAndClose(PgMessages.fatal(PgMessages.PROTOCOL_VIOLATION, reason));
+        writeAndClose(PgMessages.fatal(PgMessages.PROTOCOL_VIOLATION, violation.getMessage()));
     }
 }
--- a/src/main/java/honeygap/net/clients/PgClients.java
+++ b/src/main/java/honeygap/net/clients/PgClients.java
@@ -14,7 +14,7 @@
 import honeygap.net.connections.ClientConnections;
 import honeygap.net.pg.Query;
 import honeygap.net.pg.Statement;
-import honeygap.net.pg.PgMessages;
+import honeygap.net.pg.ProtocolViolation;
 import honeygap.net.shutdown.ShutdownEvent;
 import honeygap.net.shutdown.ShutdownLog;
 import honeygap.config.JsonObject;
@@ -43,8 +43,9 @@
     private final int maxOpenRpcs;
     final ClientConnections connections;
     private final Map<String, Query> openRpcs = new HashMap<>();
-    private long malformedCount;
-    private long unknownCount;
+    private final Map<ProtocolViolation.Kind, Long> violationsByKind = new EnumMap<>(ProtocolViolation.Kind.class);
+    private long unknownMethodCount;
+    private long unknownStatementCount;
     private long duplicateIdCount;
     private long pushedBackCount;
     private long abortedByGuardCount;
@@ -92,7 +93,7 @@
     Query openRpc(PgClientConnection client, Statement statement) {
         Method method = methods.get(statement.method());
         if (method == null) {
-            unknownCount++;
+            unknownMethodCount++;
             return null;
         }
         if (openRpcs.containsKey(statement.id())) {
@@ -178,12 +179,12 @@
         Loop.checkInvariant(openRpcs.remove(call.id, call));
     }
 
-    void countMalformed() {
-        malformedCount++;
+    void countViolation(ProtocolViolation.Kind kind) {
+        violationsByKind.merge(kind, 1L, Long::sum);
     }
 
-    void countUnknown() {
-        unknownCount++;
+    void countUnknownStatement() {
+        unknownStatementCount++;
     }
 
     void countPushedBack() {
@@ -214,8 +215,10 @@
     public void report(Counters counters) {
         connections.report(counters);
         counters.count("open RPCs", openRpcs.size());
-        counters.count("malformed", malformedCount);
-        counters.count("unknown", unknownCount);
+        counters.count("malformed", violationsByKind.values().stream().mapToLong(Long::longValue).sum());
+        violationsByKind.forEach((kind, count) -> counters.count("malformed: " + kind.label, count));
+        counters.count("unknown methods", unknownMethodCount);
+        counters.count("unknown statements", unknownStatementCount);
         counters.count("open ids", duplicateIdCount);
         counters.count("pushed back", pushedBackCount);
         counters.count("rescued", abortedByGuardCount);
--- a/src/main/java/honeygap/net/connections/ClientConnection.java
+++ b/src/main/java/honeygap/net/connections/ClientConnection.java
@@ -4,17 +4,24 @@
 import honeygap.net.Loop;
 import honeygap.net.ConnectionHandler;
 import honeygap.net.shutdown.ShutdownEvent;
+import honeygap.rules.input.InputBacklog;
+import honeygap.rules.input.InputQuota;
 import honeygap.rules.memory.MemoryBudget;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
 import java.util.Locale;
 import org.apache.mina.core.session.IoSession;
 
 /**
  * A client connection, independent of its protocol: its stages and their timer, its entry among the other
  * connections, and writes to it. RPCs are processed one at a time; each is answered completely before the next
- * one is read.
+ * one is processed. Each iteration of the loop processes a limited number of messages, whose responses are written
+ * together. Reading goes on while an RPC is open, up to a limit, since only that shows that the client has closed the
+ * connection.
  */
-public abstract class ClientConnection implements ConnectionHandler {
+public abstract class ClientConnection implements ConnectionHandler, InputBacklog.Waiting {
 
     /**
      * How long a connection may stay in a stage other than REST and ANSWER before it is sent an error or closed,
@@ -32,9 +39,6 @@
     /** A new connection is kept this long for its first RPC, because its client may be delayed too. */
     private static final long FIRST_RPC_TIMEOUT = STAGE_TIMEOUT / 6;
 
-    /** Bytes that may be queued behind an open RPC before reading is suspended. */
-    private static final int MAX_QUEUED_BYTES = 16_384;
-
     /** What a connection waits for; the names appear, in lower case, in the shutdown log. */
     private enum Stage {
         /** Not yet opened. */
@@ -54,14 +58,20 @@
     private final ClientConnections connections;
     private final Loop loop;
     private IoSession session;
-    /** A response is not yet completely handed over to the operating system. */
-    private boolean writing;
+    /** Writes that are not yet completely handed over to the operating system. */
+    private int pendingWrites;
+    /** Responses to the messages that are being processed, which are written together. */
+    private final List<ByteBuffer> responses = new ArrayList<>();
+    private final InputQuota quota = new InputQuota();
+    private boolean isProcessing;
     private boolean ending;
     private boolean disconnected;
     private Stage stage = Stage.NEW;
     private long openedAt;
     private long earliestAcceptedAt;
     private long stageSince;
+    /** The loop's selection after which the stage began. */
+    private long stageSelection;
     private long lastInputAt;
     /** When the time that the stage timer grants began. */
     private long timeoutStart;
@@ -71,6 +81,7 @@
     /** Maintained by {@link ClientConnections}, which closes connections that have been idle for too long. */
     long idleSince;
     private boolean hasReceivedRequest;
+    private boolean hasOpenedRpc;
     /** Ends a stage that lasts too long. */
     private Loop.Timer stageTimer;
 
@@ -98,9 +109,12 @@
     /** Drops all buffered input, because nothing more is read from this client. */
     protected abstract void discardInput();
 
-    /** Processes buffered messages for as long as {@link #canRead} holds. */
+    /** Processes buffered messages for as long as {@link #mayProcessNext} holds. */
     protected abstract void processInput();
 
+    /** Ends the connection, because more input waits behind its open RPC than is allowed. */
+    protected abstract void rejectQueuedInput();
+
     /** Abandons the open RPC, if any, because the client has disconnected. */
     protected abstract void abandonRpc();
 
@@ -120,7 +134,16 @@
     protected abstract void failRpc();
 
     protected final boolean canRead() {
-        return !hasOpenRpc() && !writing && !ending;
+        return !hasOpenRpc() && !isWriting() && !ending;
+    }
+
+    /** Whether the next message may be processed now; takes it from the share of this iteration. */
+    protected final boolean mayProcessNext() {
+        return canRead() && quota.takeMessage();
+    }
+
+    private boolean isWriting() {
+        return pendingWrites > 0;
     }
 
     protected final boolean isEnding() {
@@ -160,28 +183,62 @@
             return;
         }
         lastInputAt = loop.clock();
+        quota.addRead(bytes.remaining(), loop.now());
         buffer(bytes);
-        advance();
-        if (bufferedBytes() > MAX_QUEUED_BYTES && !canRead() && !ending) {
+        if (quota.isBusy(loop.now())) {
+            loop.backlog().add(this);
             session.suspendRead();
+        } else if (!loop.backlog().contains(this)) {
+            advance();
+        }
+        boolean isWaiting = !canRead() || loop.backlog().contains(this);
+        if (!ending && isWaiting && bufferedBytes() > loop.memory().maxQueuedBytes()) {
+            connections.countQueueTooLong();
+            rejectQueuedInput();
         }
+        updateMemory();
     }
 
     @Override
     public final void written() {
-        if (writing) {
-            writing = false;
+        if (!isWriting()) {
+            return;
+        }
+        pendingWrites--;
+        if (!isWriting()) {
             unreadBytes = 0;
-            if (session.isReadSuspended()) {
-                session.resumeRead();
+            if (bufferedBytes() > 0) {
+                // Not at once: the next response would be written in the same flush, and so on.
+                loop.backlog().add(this);
             }
+            updateState();
+        }
+    }
+
+    @Override
+    public final void processBacklog() {
+        if (session.isReadSuspended() && !ending) {
+            session.resumeRead();
+            readPending();
+        }
+        if (!disconnected && !session.isClosing()) {
             advance();
         }
     }
 
+    /** Reads what has arrived while reading was suspended: the client may have closed the connection meanwhile. */
+    private void readPending() {
+        ByteBuffer bytes = loop.readPending(session);
+        if (bytes.hasRemaining()) {
+            lastInputAt = loop.clock();
+            buffer(bytes);
+        }
+    }
+
     @Override
     public final void closed() {
         disconnected = true;
+        loop.backlog().remove(this);
         updateStage();
         connections.remove(this);
         connections.connectionClosed();
@@ -191,7 +248,21 @@
     }
 
     protected final void advance() {
-        processInput();
+        quota.startTurn(loop.now());
+        isProcessing = true;
+        try {
+            processInput();
+        } finally {
+            isProcessing = false;
+            flushResponses();
+        }
+        if (quota.isExceeded() && canRead() && bufferedBytes() > 0) {
+            loop.backlog().add(this);
+        }
+        updateState();
+    }
+
+    private void updateState() {
         updateStage();
         connections.updateIdle(this, isIdle());
     }
@@ -202,11 +273,12 @@
      * without sending a complete request.
      */
     private void updateStage() {
-        Stage next = disconnected ? Stage.REST : writing || ending ? Stage.UNREAD : !isStarted() ? Stage.START
+        Stage next = disconnected ? Stage.REST : isWriting() || ending ? Stage.UNREAD : !isStarted() ? Stage.START
                 : hasOpenRpc() ? Stage.ANSWER : bufferedBytes() > 0 ? Stage.HALF : Stage.REST;
         if (next != stage) {
             stage = next;
             stageSince = loop.clock();
+            stageSelection = loop.selections();
             restartStageTimer();
             connections.updateAwaitingInput(this, next == Stage.START || next == Stage.HALF);
         }
@@ -242,19 +314,37 @@
 
     private void updateMemory() {
         MemoryBudget.Use use = unreadBytes > 0 ? MemoryBudget.Use.UNREAD_RESPONSE
-                : hasOpenRpc() ? MemoryBudget.Use.OPEN_REQUEST : MemoryBudget.Use.PARTIAL_REQUEST;
+                : !hasOpenRpc() ? MemoryBudget.Use.PARTIAL_REQUEST
+                : bufferedBytes() > 0 ? MemoryBudget.Use.QUEUED_INPUT : MemoryBudget.Use.OPEN_REQUEST;
         memory.set(use, heldInputBytes() + unreadBytes, loop.now());
     }
 
     /** Ends the connection, because the process holds too much for all connections together. */
     private void releaseMemory() {
-        connections.evictForMemory(this);
+        if (hasOpenRpc()) {
+            // The RPC may have run, so that its answer must not promise the contrary.
+            connections.countEvictedForMemory();
+            failRpc();
+            close();
+        } else {
+            connections.evictForMemory(this);
+        }
     }
 
     final boolean hasReceivedRequest() {
         return hasReceivedRequest;
     }
 
+    /** Marks that an RPC of this connection was accepted. */
+    protected final void rpcOpened() {
+        hasOpenedRpc = true;
+        quota.rpcOpened();
+    }
+
+    final boolean hasOpenedRpc() {
+        return hasOpenedRpc;
+    }
+
     /** Whether the client has sent a request or has had enough time since it connected to send its first one. */
     final boolean hadTimeForFirstRpc() {
         return hasReceivedRequest || loop.now() >= firstRpcDeadline();
@@ -276,9 +366,10 @@
     }
 
     /**
-     * Closes the connection between RPCs, unless the next one has already arrived: then that is read first. Later
-     * input is left unread, so that the client can tell that it was not accepted. Otherwise an RPC that arrives
-     * during the close would be read and dropped. Returns whether the connection was closed.
+     * Closes the connection between RPCs, unless the next one has already arrived: then that is read first. The output
+     * ends in the same moment: a close that waited for the rest of the iteration would meet requests that arrive
+     * meanwhile. Later input is left unread, so that the client can tell that it was not accepted. Returns whether the
+     * connection was closed.
      */
     final boolean closeIdle() {
         ByteBuffer next = loop.readPending(session);
@@ -287,7 +378,11 @@
             return false;
         }
         session.suspendRead();
-        close();
+        connections.recordShutdownEvent(ShutdownEvent.CLOSED, this);
+        ending = true;
+        discardInput();
+        loop.closeAbruptly(session);
+        updateStage();
         return true;
     }
 
@@ -295,7 +390,7 @@
     final void endForShutdown() {
         if (hasOpenRpc()) {
             failRpc();
-        } else if (!writing && !ending) {
+        } else if (!isWriting() && !ending) {
             writeAndClose(shutdownResponse());
         }
     }
@@ -309,23 +404,32 @@
         }
     }
 
-    /** Whether the awaited input would have been read by now if the client had sent it. */
+    /**
+     * Whether the awaited input would have been read by now if the client had sent it. However long an iteration takes,
+     * input that arrives during it is read in the next one.
+     */
     final boolean isOverdue() {
-        return stageSince + STAGE_GRACE < loop.now();
+        return stageSince + STAGE_GRACE < loop.now() && stageSelection + 1 < loop.selections();
+    }
+
+    /** When the awaited input becomes overdue, on the loop's clock. */
+    final long overdueAt() {
+        return stageSince + STAGE_GRACE + 1;
     }
 
     /** Whether no input has been received from the client. */
     final boolean hasSentNothing() {
-        return !isStarted() && !writing && !ending && bufferedBytes() == 0;
+        return !isStarted() && !isWriting() && !ending && bufferedBytes() == 0;
     }
 
     /** Whether no RPC is open, nothing is being written and no partial request is buffered. */
     final boolean isIdle() {
-        return isStarted() && !hasOpenRpc() && !writing && !ending && bufferedBytes() == 0;
+        return isStarted() && !hasOpenRpc() && !isWriting() && !ending && bufferedBytes() == 0;
     }
 
     protected final void close() {
         connections.recordShutdownEvent(ShutdownEvent.CLOSED, this);
+        flushResponses();
         ending = true;
         discardInput();
         session.closeOnFlush();
@@ -334,17 +438,34 @@
 
     protected final void closeNow() {
         ending = true;
+        responses.clear();
         discardInput();
         session.closeNow();
     }
 
+    /** Writes a response; while input is being processed, it is written together with those to the other messages. */
     protected final void write(ByteBuffer... parts) {
-        if (!disconnected) {
-            writing = true;
-            unreadBytes += GatheringBuffer.backingBytes(parts);
-            session.write(new GatheringBuffer(parts));
-            updateStage();
+        if (disconnected) {
+            return;
+        }
+        responses.addAll(Arrays.asList(parts));
+        if (isProcessing) {
+            quota.addResponse(GatheringBuffer.backingBytes(parts));
+        } else {
+            flushResponses();
+        }
+    }
+
+    private void flushResponses() {
+        if (responses.isEmpty() || disconnected) {
+            return;
         }
+        ByteBuffer[] parts = responses.toArray(new ByteBuffer[0]);
+        responses.clear();
+        pendingWrites++;
+        unreadBytes += GatheringBuffer.backingBytes(parts);
+        session.write(new GatheringBuffer(parts));
+        updateStage();
     }
 
     protected final void writeAndClose(ByteBuffer response) {
--- a/src/main/java/honeygap/net/connections/ClientConnections.java
+++ b/src/main/java/honeygap/net/connections/ClientConnections.java
@@ -7,6 +7,7 @@
 import honeygap.net.shutdown.ShutdownLog;
 import honeygap.rules.shutdown.ShutdownSchedule;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +33,8 @@
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
     /** Connections whose startup or rest of a message is awaited; longest waiting first. */
     private final Set<ClientConnection> awaitingInput = new LinkedHashSet<>();
+    /** Connections whose startup, or first request where the protocol has none, is not complete. */
+    private final Set<ClientConnection> unstarted = new HashSet<>();
     private Loop.Timer idleTimer;
     /** Number of connections, including those that close once their last response is written. */
     private int connected;
@@ -43,6 +46,8 @@
     private long closedAboveThresholdCount;
     private long rejectedCount;
     private long evictedForMemoryCount;
+    private long queueTooLongCount;
+    private Loop.Timer overLimitTimer;
     private long rejectedForMemoryCount;
     private final OncePerSecond memoryLog;
 
@@ -62,42 +67,68 @@
         memoryLog = new OncePerSecond(loop);
     }
 
-    /**
-     * Adds a new connection. At the limit, the connection whose input has been awaited longest is evicted, or else
-     * the one that has been idle longest. Connections accepted at the same moment and not yet read are not
-     * evicted, because their clients would reconnect at once.
-     */
+    /** Adds a new connection. */
     void add(ClientConnection connection) {
         connected++;
         connections.add(connection);
         awaitingInput.add(connection);
+        unstarted.add(connection);
         if (closing) {
             closeAfterFirstRpcDeadline(connection);
         }
+        evictAboveLimit();
+    }
+
+    /**
+     * While there are too many connections, evicts those whose input is overdue, longest awaited first; then idle ones,
+     * but only for connections that are started: a client that connects and stays silent, or is reset, must not cost
+     * another one its connection. Input that is not overdue is awaited, and this is repeated.
+     */
+    private void evictAboveLimit() {
         while (connections.size() > maxConnections) {
-            ClientConnection evicted = awaitingInput.iterator().next();
-            if (!evicted.isOverdue() && !idle.isEmpty()) {
+            Optional<ClientConnection> overdue = awaitingInput.stream().findFirst().filter(ClientConnection::isOverdue);
+            if (overdue.isPresent()) {
+                evictedCount++;
+                remove(overdue.get());
+                overdue.get().terminate(overdue.get().tooManyConnectionsResponse());
+            } else if (startedCount() > maxConnections && !idle.isEmpty()) {
+                evictedCount++;
                 // A new connection is closed last: its first RPC may be a resend after another connection was closed,
                 // and clients don't resend a second time.
-                evicted = evictionCandidate().orElse(idle.iterator().next());
-            }
-            if (evicted == connection) {
-                return;
-            }
-            evictedCount++;
-            if (evicted.isIdle()) {
-                closeIdle(evicted);
+                closeIdle(evictionCandidate().orElse(idle.iterator().next()));
             } else {
-                remove(evicted);
-                evicted.terminate(evicted.tooManyConnectionsResponse());
+                scheduleEviction();
+                return;
             }
         }
     }
 
-    /** An idle connection to close: first one that has sent a request, then one that has had time to send one. */
+    private void scheduleEviction() {
+        if (overLimitTimer == null && !awaitingInput.isEmpty()) {
+            long overdueAt = Math.max(awaitingInput.iterator().next().overdueAt(), loop.now() + 1);
+            overLimitTimer = loop.schedule(overdueAt, () -> {
+                overLimitTimer = null;
+                evictAboveLimit();
+            });
+        }
+    }
+
+    /** The number of connections that are started. */
+    private int startedCount() {
+        return connections.size() - unstarted.size();
+    }
+
+    /**
+     * An idle connection to close: first one whose client has sent requests but no RPC, then one that has sent a request,
+     * then one that has had time to send one.
+     */
     private Optional<ClientConnection> evictionCandidate() {
-        return idle.stream().filter(ClientConnection::hasReceivedRequest).findFirst()
-                .or(() -> idle.stream().filter(ClientConnection::hadTimeForFirstRpc).findFirst());
+        return requestCandidate().or(() -> idle.stream().filter(ClientConnection::hadTimeForFirstRpc).findFirst());
+    }
+
+    private Optional<ClientConnection> requestCandidate() {
+        return idle.stream().filter(connection -> connection.hasReceivedRequest() && !connection.hasOpenedRpc()).findFirst()
+                .or(() -> idle.stream().filter(ClientConnection::hasReceivedRequest).findFirst());
     }
 
     /** Closes an idle connection, unless its next RPC has already arrived: then it stays and is no longer idle. */
@@ -121,6 +152,7 @@
         connections.remove(connection);
         idle.remove(connection);
         awaitingInput.remove(connection);
+        unstarted.remove(connection);
     }
 
     void updateAwaitingInput(ClientConnection connection, boolean isAwaited) {
@@ -131,9 +163,14 @@
         }
     }
 
-    /** Whether requests are rejected, because of too many connections or a drain; counts rejections. */
-    public boolean rejectsRequest() {
-        boolean isRejected = connections.size() > maxConnections || drained;
+    /**
+     * Whether a request or startup of this connection is rejected, because of too many connections or a drain; counts
+     * rejections.
+     */
+    public boolean rejectsRequest(ClientConnection connection) {
+        unstarted.remove(connection);
+        evictAboveLimit();
+        boolean isRejected = startedCount() > maxConnections || drained;
         rejectedCount += isRejected ? 1 : 0;
         return isRejected;
     }
@@ -150,12 +187,20 @@
 
     /** Ends a connection because of what it holds: a request that is still incomplete or a response that is not read. */
     void evictForMemory(ClientConnection connection) {
-        evictedForMemoryCount++;
-        logMemory("connection ended");
+        countEvictedForMemory();
         remove(connection);
         connection.terminate(connection.outOfMemoryResponse());
     }
 
+    void countEvictedForMemory() {
+        evictedForMemoryCount++;
+        logMemory("connection ended");
+    }
+
+    void countQueueTooLong() {
+        queueTooLongCount++;
+    }
+
     private void logMemory(String event) {
         if (memoryLog.isDue()) {
             Logger.warn("{}: all connections together hold {} bytes, {} are allowed for requests", event,
@@ -186,6 +231,7 @@
     void updateIdle(ClientConnection connection, boolean isIdle) {
         if (!isIdle || !connections.contains(connection)) {
             idle.remove(connection);
+            evictAboveLimit();
         } else if (closing) {
             closeAfterFirstRpcDeadline(connection);
         } else if (idle.add(connection)) {
@@ -193,11 +239,12 @@
             if (idleTimer == null) {
                 idleTimer = loop.schedule(loop.now() + idleTimeout, this::closeExpiredIdle);
             }
-            if (connections.size() > idleCloseThreshold) {
+            evictAboveLimit();
+            if (startedCount() > idleCloseThreshold) {
                 // Guards against clients that send one request per connection: they could open no more until others
                 // close. A connection without a request so far is kept: its first RPC may be in transit, and may be a
                 // resend after another connection was closed.
-                idle.stream().filter(ClientConnection::hasReceivedRequest).findFirst().ifPresent(longestIdle -> {
+                requestCandidate().ifPresent(longestIdle -> {
                     closedAboveThresholdCount++;
                     closeIdle(longestIdle);
                 });
@@ -279,5 +326,6 @@
         counters.count("full", rejectedCount);
         counters.count("ended for memory", evictedForMemoryCount);
         counters.count("rejected for memory", rejectedForMemoryCount);
+        counters.count("queue too long", queueTooLongCount);
     }
 }
--- a/src/main/java/honeygap/net/flagclients/FlagClientConnection.java
+++ b/src/main/java/honeygap/net/flagclients/FlagClientConnection.java
@@ -141,11 +141,11 @@
     @Override
     protected void processInput() {
         try {
-            while (canRead() && parser.next()) {
+            while (mayProcessNext() && parser.next()) {
                 started = true;
                 requestReceived();
                 continueSent = false;
-                if (clients.connections.rejectsRequest()) {
+                if (clients.connections.rejectsRequest(this)) {
                     writeAndClose(tooManyConnectionsResponse());
                 } else if (clients.connections.lacksMemory()) {
                     writeAndClose(outOfMemoryResponse());
@@ -164,6 +164,13 @@
         }
     }
 
+    @Override
+    protected void rejectQueuedInput() {
+        clients.countRejected("too much input at once");
+        abandonRpc();
+        writeAndClose(createResponse(413, OfrepJson.error(null, null, "too much input at once"), "", false));
+    }
+
     /** Handles a complete request; rejecting it does not close the connection. */
     private void handleRequest() {
         String flag = null;
@@ -183,6 +190,7 @@
             }
             openEvaluation = createEvaluation(route);
             parser.releaseBody();
+            rpcOpened();
             clients.dispatcher.submit(openEvaluation, clients.tick);
         } catch (Refusal e) {
             clients.countRejected(e.kind);
--- a/src/main/java/honeygap/net/pg/FrameDecoder.java
+++ b/src/main/java/honeygap/net/pg/FrameDecoder.java
@@ -12,6 +12,8 @@
     private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
     private static final int TYPED_HEADER_LENGTH = 5;
     private static final int UNTYPED_HEADER_LENGTH = 4;
+    /** Room behind queued messages for further input. */
+    private static final int MIN_SPARE_BYTES = 4096;
 
     private final int maxLength;
     private ByteBuffer buffer = EMPTY;
@@ -35,9 +37,10 @@
         }
         if (!ownsBuffer || buffer.capacity() - buffer.limit() < more.remaining()) {
             int length = buffer.remaining() + more.remaining();
-            // Doubles up to the declared length, to avoid a copy per read.
+            // Doubles up to the declared length, or a little more than has arrived, to avoid a copy per read.
             int declaredLength = buffer.remaining() >= TYPED_HEADER_LENGTH ? buffer.getInt(buffer.position() + 1) + 1 : 0;
-            ByteBuffer grown = ByteBuffer.allocate(Math.max(length, Math.min(declaredLength, 2 * length)));
+            int wanted = Math.max(declaredLength, length + MIN_SPARE_BYTES);
+            ByteBuffer grown = ByteBuffer.allocate(Math.max(length, Math.min(wanted, 2 * length)));
             grown.put(buffer).put(more).flip();
             buffer = grown;
             ownsBuffer = true;
@@ -113,7 +116,7 @@
         int start = buffer.position();
         int length = buffer.getInt(start + headerLength - UNTYPED_HEADER_LENGTH);
         if (length < UNTYPED_HEADER_LENGTH || length > maxLength) {
-            throw new Malformed("a message of length " + length);
+            throw new ProtocolViolation(ProtocolViolation.Kind.MESSAGE_LENGTH, "a message of length " + length);
         }
         int end = start + headerLength - UNTYPED_HEADER_LENGTH + length;
         if (end > buffer.limit()) {
--- a/src/main/java/honeygap/rules/memory/MemoryBudget.java
+++ b/src/main/java/honeygap/rules/memory/MemoryBudget.java
@@ -1,5 +1,7 @@
 package honeygap.rules.memory;
 
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.TreeSet;
@@ -18,6 +20,8 @@
     public enum Use {
         /** A request of which a part is still to come. */
         PARTIAL_REQUEST,
+        /** Input that waits behind an open request of the same connection. */
+        QUEUED_INPUT,
         /** A response that the client has not read yet. */
         UNREAD_RESPONSE,
         /** A response of which a part is still to come from an appliance. */
@@ -32,6 +36,8 @@
     private static final double REQUEST_SHARE = 3.0 / 8;
     /** Share of the heap up to which responses are kept: admitted requests are still answered above the other limit. */
     private static final double RESPONSE_SHARE = 1.0 / 2;
+    /** Share of the limit for requests that the input waiting on one connection may take. */
+    private static final double QUEUE_SHARE = 1.0 / 16;
     /** An account that has been in use for longer than a pause of the process lasts waits for its remote side. */
     private static final long STALLED_AFTER = 1_500;
 
@@ -132,6 +138,7 @@
         }
         isReclaiming = true;
         try {
+            reclaimLargestQueues();
             reclaim(Use.PARTIAL_REQUEST, requestLimit(), now);
             reclaim(Use.UNREAD_RESPONSE, responseLimit(), now);
             reclaim(Use.PARTIAL_RESPONSE, responseLimit(), now);
@@ -140,19 +147,31 @@
         }
     }
 
+    /** Queued input is given up where there is most of it: that client has sent more than its share. */
+    private void reclaimLargestQueues() {
+        TreeSet<Account> candidates = accounts.get(Use.QUEUED_INPUT);
+        while (heldBytes > requestLimit() && !candidates.isEmpty()) {
+            release(Collections.max(candidates, Comparator.comparingLong(account -> account.bytes)));
+        }
+    }
+
     private void reclaim(Use use, long limit, long now) {
         TreeSet<Account> candidates = accounts.get(use);
         while (heldBytes > limit && !candidates.isEmpty()) {
             Account oldest = candidates.first();
             boolean isStalled = now - oldest.since >= STALLED_AFTER;
             // Where none is stalled there are too many at once: those that came first are nearest to their end.
-            Account released = isStalled ? oldest : candidates.last();
-            released.clear();
-            releasedCounts.merge(use, 1L, Long::sum);
-            released.release.run();
+            release(isStalled ? oldest : candidates.last());
         }
     }
 
+    private void release(Account account) {
+        Use use = account.use;
+        account.clear();
+        releasedCounts.merge(use, 1L, Long::sum);
+        account.release.run();
+    }
+
     /** Bytes held by all accounts. */
     public long heldBytes() {
         return heldBytes;
@@ -163,6 +182,11 @@
         return requestLimit();
     }
 
+    /** The most bytes that may wait on one connection behind its open request. */
+    public long maxQueuedBytes() {
+        return (long) (QUEUE_SHARE * requestLimit());
+    }
+
     /** How often an account of this use was given up. */
     public long releasedCount(Use use) {
         return releasedCounts.get(use);
--- a/src/test/java/honeygap/rules/memory/MemoryBudgetTest.java
+++ b/src/test/java/honeygap/rules/memory/MemoryBudgetTest.java
@@ -95,4 +95,21 @@
         account.set(Use.UNREAD_RESPONSE, 0, 20);
         assertEquals(0, budget.heldBytes());
     }
+
+    /** Input that waits behind open requests is given up where there is most of it, and before anything else. */
+    @Test
+    void largestQueueIsGivenUpFirst() {
+        MemoryBudget budget = new MemoryBudget(8000);
+        java.util.List<String> released = new java.util.ArrayList<>();
+        MemoryBudget.Account small = budget.open(() -> released.add("small"));
+        MemoryBudget.Account large = budget.open(() -> released.add("large"));
+        MemoryBudget.Account partial = budget.open(() -> released.add("partial"));
+        small.set(MemoryBudget.Use.QUEUED_INPUT, 300, 0);
+        large.set(MemoryBudget.Use.QUEUED_INPUT, 1500, 0);
+        partial.set(MemoryBudget.Use.PARTIAL_REQUEST, 1000, 0);
+        assertEquals(java.util.List.of(), released);
+        small.set(MemoryBudget.Use.QUEUED_INPUT, 600, 0);
+        assertEquals(java.util.List.of("large"), released);
+        assertEquals(1600, budget.heldBytes());
+    }
 }
