--- a/src/main/java/honeygap/DecisionEngine.java
+++ b/src/main/java/honeygap/DecisionEngine.java
@@ -48,6 +48,7 @@
     private final Voting voting;
     private final Shutdown shutdown;
     private final RetryPolicy retryPolicy;
+    private final AbandonedRpcs abandonedRpcs = new AbandonedRpcs();
     private final ApplianceSelector selector;
     private final ArrayDeque<Rpc> undecided = new ArrayDeque<>(), waiting = new ArrayDeque<>();
     private long nextWakeAt = Long.MAX_VALUE, secondStartedAt = Fleet.LONG_AGO;
@@ -98,12 +99,24 @@
         WorkEstimate.rpcReceived(rpc);
         coldStartLimit.rpcReceived(rpc);
         slownessEvidence.rpcReceived(rpc);
+        rpc.earlierPick = abandonedRpcs.earlierPick(rpc, fleet.now);
         undecided.addLast(rpc);
     }
 
     /** The client of the RPC has disconnected or cancelled it. */
     public void clientDisconnected(Rpc rpc) {
         rpc.closed = true;
+        abandonedRpcs.add(rpc, fleet.now);
+    }
+
+    /** Limits the memory for RPCs that are remembered after their clients have gone, in bytes. */
+    public void limitAbandonedRpcs(long bytes) {
+        abandonedRpcs.limitMemory(bytes);
+    }
+
+    /** The number of RPCs that are remembered after their clients have gone. */
+    public int abandonedRpcCount() {
+        return abandonedRpcs.size();
     }
 
     /**
--- a/src/main/java/honeygap/fleet/Rpc.java
+++ b/src/main/java/honeygap/fleet/Rpc.java
@@ -6,7 +6,7 @@
 /** An RPC received from a client. */
 public class Rpc {
 
-    /** For use by the host; no decision depends on it. */
+    /** Given by the client, which uses it again only to send the same RPC again. */
     public final String id;
     public final Method method;
     public final Tenant tenant;
@@ -20,6 +20,8 @@
     /** Whether the client has sent it before. */
     public final boolean retry;
     public final List<Pick> picks = new ArrayList<>(2);
+    /** A pick of an RPC with the same id that its client abandoned; null if there is none. */
+    public Pick earlierPick;
     /** Number of picks in flight. */
     public int inFlight;
     public boolean closed;
--- a/src/main/java/honeygap/net/PostgresProtocol.java
+++ b/src/main/java/honeygap/net/PostgresProtocol.java
@@ -70,6 +70,7 @@
         maxConnections = Math.max(2, sockets - RESERVED_DESCRIPTORS) / 2;
         ListSettings listing = DeploymentSettings.socketListing(settings);
         rules = DeploymentSettings.rules(loop.clock(), seed, methods, settings, listing);
+        rules.limitAbandonedRpcs(loop.memory().reserveForAbandonedRpcs());
         Map<String, Method> methodsByName = new HashMap<>();
         int index = 0;
         for (JsonObject method : settings.objects("Classes")) {
@@ -189,6 +190,7 @@
         counters.group("core", group -> {
             group.count("turns", engine.iterationCount());
             group.count("builds", engine.buildCount());
+            group.count("abandoned RPCs kept", rules.abandonedRpcCount());
         });
         counters.group("clients", clients).group("links", connections).group("list", discovery)
                 .group("votes", votes).group("bulletin", statusStream)
--- a/src/main/java/honeygap/rules/memory/MemoryBudget.java
+++ b/src/main/java/honeygap/rules/memory/MemoryBudget.java
@@ -38,6 +38,8 @@
     private static final double RESPONSE_SHARE = 1.0 / 2;
     /** Share of the limit for requests that the input waiting on one connection may take. */
     private static final double QUEUE_SHARE = 1.0 / 16;
+    /** Share of the heap for what is remembered of RPCs whose clients have gone. */
+    private static final double ABANDONED_SHARE = 1.0 / 32;
     /** An account that has been in use for longer than a pause of the process lasts waits for its remote side. */
     private static final long STALLED_AFTER = 1_500;
 
@@ -116,6 +118,13 @@
         heapBytes = Math.max(0, heapBytes - bytes);
     }
 
+    /** Sets aside the memory for what is remembered of RPCs whose clients have gone; returns its bytes. */
+    public long reserveForAbandonedRpcs() {
+        long bytes = (long) (ABANDONED_SHARE * heapBytes);
+        reserve(bytes);
+        return bytes;
+    }
+
     /** Whether there is room for another request, once incomplete ones were given up as far as needed. */
     public boolean admitsRequest(long now) {
         reclaim(now);
--- a/src/main/java/honeygap/rules/routing/RetryPolicy.java
+++ b/src/main/java/honeygap/rules/routing/RetryPolicy.java
@@ -31,10 +31,17 @@
         fleet.retryBalance -= mayHaveRun != null ? 1 : 0;
     }
 
-    /** The first pick of the RPC that may have been executed; null if there is none. */
+    /** The first pick of the RPC, or of an earlier one with its id, that may have been executed; null if there is none. */
     public static Pick firstThatMayHaveRun(Rpc rpc) {
-        return rpc.picks.stream().filter(pick -> pick.outcome != Pick.PUSHED_BACK && pick.outcome != Pick.NOT_EXECUTED
-                && pick.outcome != Pick.CONNECT_FAILED).findFirst().orElse(null);
+        if (rpc.earlierPick != null && mayHaveRun(rpc.earlierPick)) {
+            return rpc.earlierPick;
+        }
+        return rpc.picks.stream().filter(RetryPolicy::mayHaveRun).findFirst().orElse(null);
+    }
+
+    private static boolean mayHaveRun(Pick pick) {
+        return pick.outcome != Pick.PUSHED_BACK && pick.outcome != Pick.NOT_EXECUTED
+                && pick.outcome != Pick.CONNECT_FAILED;
     }
 
     /** Why no further pick is allowed now, given an earlier one that may have been executed; null if one is. */
