A client gets its place or a refusal before it is started; an answer that was not read counts as given up

One request was lost in a crowd: its connection, new and resent on, was closed for room before its first RPC was read.

Change: an id counts as abandoned also where its answer went to a connection that has closed since. At the limit a started connection that has had no time for its first RPC is no longer closed; the one that comes waits for a place up to that time, and is then refused. A channel that closes before the loop opens it gives its slot back (AcceptorTest).

The test of the closed channel moved to AcceptorTest: by way of a dial it depended on MINA's connector thread, which drops a cancelled dial when it is about to end.

--- a/src/main/java/honeygap/DecisionEngine.java
+++ b/src/main/java/honeygap/DecisionEngine.java
@@ -103,7 +103,7 @@
         undecided.addLast(rpc);
     }
 
-    /** The client of the RPC has disconnected or cancelled it. */
+    /** The client of the RPC has disconnected or cancelled it, maybe without reading the answer. */
     public void clientDisconnected(Rpc rpc) {
         rpc.closed = true;
         abandonedRpcs.add(rpc, fleet.now);
--- a/src/main/java/honeygap/lab/soak/FloodKind.java
+++ b/src/main/java/honeygap/lab/soak/FloodKind.java
@@ -3,9 +3,10 @@
 import honeygap.net.pg.PgMessages;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
-/** What a client sends over and over on the PostgreSQL front without ever opening an RPC that is served. */
+/** What a client sends over and over on the PostgreSQL front. */
 enum FloodKind {
     /** TLS requests back to back on one connection, which is opened again when the agent closes it; answers are read. */
     TLS_REQUESTS(true, false),
@@ -41,6 +42,11 @@
         this.startsUp = startsUp;
     }
 
+    /** The kinds whose input opens no RPC. */
+    static List<FloodKind> withoutRpcs() {
+        return Arrays.stream(values()).filter(kind -> kind != NEW_KEYS && kind != SINGLE_BYTES).toList();
+    }
+
     /** What is sent before everything else on each connection. */
     byte[] opening() {
         List<ByteBuffer> messages = new ArrayList<>();
--- a/src/main/java/honeygap/lab/soak/SoakChecker.java
+++ b/src/main/java/honeygap/lab/soak/SoakChecker.java
@@ -276,7 +276,13 @@
     /** No attempt starts after the client has disconnected. */
     private void checkDisconnects() {
         for (SoakRecord.Disconnect disconnect : record.disconnects.values()) {
+            // A client that comes again with the id wants what is sent from then on.
+            SoakRecord.Resend resend = record.resends.get(disconnect.id());
+            long cameAgainAt = resend == null ? Long.MAX_VALUE : resend.at();
             for (SoakRecord.Arrival arrival : arrivalsById.getOrDefault(disconnect.id(), List.of())) {
+                if (arrival.firstByteAt() >= cameAgainAt) {
+                    continue;
+                }
                 long lateMs = arrival.firstByteAt() - disconnect.at()
                         - pausedMs(record.sent.get(disconnect.id()).agent(), disconnect.at() - DISCONNECT_GRACE_MS,
                                 arrival.firstByteAt());
--- a/src/main/java/honeygap/lab/soak/SoakClient.java
+++ b/src/main/java/honeygap/lab/soak/SoakClient.java
@@ -11,6 +11,8 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
 import java.util.function.BooleanSupplier;
 
@@ -23,6 +25,12 @@
     private static final long RECONNECT_PAUSE_MS = 100;
     private static final double DISCONNECT_PROBABILITY = 0.03;
     private static final long MAX_DISCONNECT_DELAY_MS = 15;
+    /** Probability that a client sends several large requests in line and closes its connection. */
+    private static final double LEAVE_IN_LINE_PROBABILITY = 0.01;
+    private static final int REQUESTS_LEFT_IN_LINE = 4;
+    private static final int VALUE_LEFT_IN_LINE_BYTES = 8192;
+    private static final int MAX_LEAVE_DELAY_MS = 150;
+    private static final long RETURN_DELAY_MS = 20;
     private static final int KEYS = 200;
     /** Number of the client that sends its next request without a pause. */
     private static final int GREEDY_CLIENT = 1;
@@ -120,6 +128,10 @@
     private record Request(String id, ByteBuffer query, long deadline) { }
 
     private Request createRequest() {
+        return createRequest(0);
+    }
+
+    private Request createRequest(int valueBytes) {
         SoakMethod method = SoakMethod.values()[random.nextInt(SoakMethod.values().length)];
         String id = String.format("%02x-%x-%x", agent, number, nextRequest++);
         String key = "k" + random.nextInt(KEYS);
@@ -127,12 +139,18 @@
         long timeMs = (long) (fraction * load.deadlineMs().get(method));
         long now = record.now();
         record.sent.put(id, new SoakRecord.SentRequest(id, agent, method, now, timeMs));
-        return new Request(id, PgMessages.query("SELECT content FROM kv WHERE name = '" + key + "' /* id=" + id + ",c="
+        String statement = valueBytes == 0 ? "SELECT content FROM kv WHERE name = '" + key + "'"
+                : "INSERT INTO kv (name, content) VALUES ('" + key + "', '\\x" + "61".repeat(valueBytes) + "') RETURNING content";
+        return new Request(id, PgMessages.query(statement + " /* id=" + id + ",c="
                 + method.label + ",t=acme,d=" + timeMs + ",k=" + key + " */"), now + timeMs);
     }
 
     /** Sends the given number of requests back to back and reads their answers. */
     private void send(int count) throws IOException, InterruptedException {
+        if (random.nextDouble() < LEAVE_IN_LINE_PROBABILITY) {
+            leaveInLine();
+            return;
+        }
         ArrayDeque<Request> unanswered = new ArrayDeque<>();
         for (int i = 0; i < count; i++) {
             unanswered.add(createRequest());
@@ -186,6 +204,31 @@
         }
     }
 
+    /** Sends large requests in line, closes the connection, and comes again with the first of them. */
+    private void leaveInLine() throws IOException, InterruptedException {
+        Request first = createRequest(VALUE_LEFT_IN_LINE_BYTES);
+        List<Request> requests = new ArrayList<>(List.of(first));
+        for (int i = 1; i < REQUESTS_LEFT_IN_LINE; i++) {
+            requests.add(createRequest(VALUE_LEFT_IN_LINE_BYTES));
+        }
+        try {
+            for (Request request : requests) {
+                write(socket, request.query());
+            }
+            Thread.sleep(random.nextInt(MAX_LEAVE_DELAY_MS));
+        } finally {
+            disconnect();
+            for (Request request : requests) {
+                record.disconnects.put(request.id(), new SoakRecord.Disconnect(request.id(), record.now()));
+            }
+        }
+        Thread.sleep(RETURN_DELAY_MS);
+        connect(0);
+        record.resends.put(first.id(), new SoakRecord.Resend(first.id(), record.now()));
+        write(socket, first.query());
+        readAnswer();
+    }
+
     private void disconnectEarly(String id) throws InterruptedException {
         Thread.sleep(random.nextInt((int) MAX_DISCONNECT_DELAY_MS));
         disconnect();
--- a/src/main/java/honeygap/lab/soak/SoakPlan.java
+++ b/src/main/java/honeygap/lab/soak/SoakPlan.java
@@ -10,7 +10,8 @@
  *
  * @param loadMs how long clients send requests, in milliseconds
  */
-record SoakPlan(long seed, int agents, int appliances, long loadMs, SoakLoad load, List<PlannedFault> faults) {
+record SoakPlan(long seed, int agents, int appliances, long loadMs, SoakLoad load, List<PlannedFault> faults,
+        List<PlannedFlood> floods) {
 
     private static final int FAULTS_PER_MINUTE = 60;
     private static final int MIN_APPLIANCES = 12;
@@ -54,7 +55,8 @@
         }
         addRollingRestart(random, agents, appliances, loadMs, faults);
         faults.sort(Comparator.comparingLong(PlannedFault::atMs));
-        return new SoakPlan(seed, agents, appliances, loadMs, SoakLoad.generate(seed, agents), List.copyOf(faults));
+        return new SoakPlan(seed, agents, appliances, loadMs, SoakLoad.generate(seed, agents), List.copyOf(faults),
+                PlannedFlood.generate(seed, agents, loadMs));
     }
 
     /** Terminates each agent once, a tenth of the fleet at a time, while an appliance hangs. */
@@ -82,6 +84,6 @@
     }
 
     SoakPlan withFaults(List<PlannedFault> remaining) {
-        return new SoakPlan(seed, agents, appliances, loadMs, load, List.copyOf(remaining));
+        return new SoakPlan(seed, agents, appliances, loadMs, load, List.copyOf(remaining), floods);
     }
 }
--- a/src/main/java/honeygap/lab/soak/SoakRun.java
+++ b/src/main/java/honeygap/lab/soak/SoakRun.java
@@ -85,6 +85,9 @@
             timers.schedule(() -> workers.submit(() -> injectSafely(fault)),
                     fault.atMs(), TimeUnit.MILLISECONDS);
         }
+        for (PlannedFlood flood : plan.floods()) {
+            timers.schedule(() -> startFlood(flood), flood.atMs(), TimeUnit.MILLISECONDS);
+        }
         runClients(loadStart + plan.loadMs());
         discovery.setDown(false);
         TimeUnit.MILLISECONDS.sleep(QUIET_MS);
@@ -175,6 +178,17 @@
         }
     }
 
+    /** Starts clients that flood an agent for as long as it takes new connections. */
+    private void startFlood(PlannedFlood flood) {
+        SoakAgent agent = agents.get(flood.agent());
+        long end = record.now() + flood.durationMs();
+        for (int i = 0; i < flood.clients(); i++) {
+            FloodClient client = new FloodClient(flood.kind(), agent.address, "flood" + flood.atMs() + "-" + i,
+                    () -> record.now() >= end || !agent.acceptsNewClients());
+            workers.submit(client::run);
+        }
+    }
+
     /** Injects a fault; an exception counts as a failure of the run. */
     private void injectSafely(PlannedFault fault) {
         try {
--- a/src/main/java/honeygap/net/Loop.java
+++ b/src/main/java/honeygap/net/Loop.java
@@ -113,7 +113,7 @@
     private final MemoryBudget memory;
     private final InputBacklog backlog = new InputBacklog();
     final TurnStatistics turnStatistics = new TurnStatistics(new OncePerSecond(this));
-    private final AtomicLong closedBeforeOpened = new AtomicLong();
+    private long closedBeforeOpened;
     private long selections;
     private long nextTimerSequence;
     private int cancelledTimers;
@@ -150,10 +150,8 @@
         ExceptionMonitor.setInstance(new ExceptionMonitor() {
             @Override
             public void exceptionCaught(Throwable cause) {
-                if (cause instanceof ClosedChannelException) {
-                    // A connection attempt that was abandoned while its connection waited for the loop.
-                    closedBeforeOpened.incrementAndGet();
-                } else {
+                // A connection that was closed while it waited for the loop is counted by its processor.
+                if (!(cause instanceof ClosedChannelException)) {
                     reportFault(cause);
                 }
             }
@@ -253,9 +251,18 @@
         return selections;
     }
 
+    /** A connection was closed before the loop opened it; MINA reports no event for it. */
+    void onClosedBeforeOpened(IoSession session) {
+        closedBeforeOpened++;
+        if (session.getService() instanceof Acceptor acceptor) {
+            acceptor.onSessionOpened();
+        }
+        session.getCloseFuture().setClosed();
+    }
+
     /** Connections that were closed before the loop opened them. */
     long closedBeforeOpened() {
-        return closedBeforeOpened.get();
+        return closedBeforeOpened;
     }
 
     /** Tenths of a millisecond since the loop was created. */
--- a/src/main/java/honeygap/net/LoopProcessor.java
+++ b/src/main/java/honeygap/net/LoopProcessor.java
@@ -1,6 +1,7 @@
 package honeygap.net;
 
 import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.GatheringByteChannel;
 import java.nio.channels.SelectionKey;
 import java.util.concurrent.Executor;
@@ -65,7 +66,12 @@
 
     @Override
     protected void init(NioSession session) throws Exception {
-        super.init(session);
+        try {
+            super.init(session);
+        } catch (ClosedChannelException e) {
+            loop.onClosedBeforeOpened(session);
+            throw e;
+        }
         // MINA does not expose the channel, which gathering writes need.
         for (SelectionKey key : selector.keys()) {
             if (key.attachment() == session) {
--- a/src/main/java/honeygap/net/clients/PgClientConnection.java
+++ b/src/main/java/honeygap/net/clients/PgClientConnection.java
@@ -1,5 +1,6 @@
 package honeygap.net.clients;
 
+import honeygap.fleet.Method;
 import honeygap.net.connections.ClientConnection;
 import honeygap.net.pg.FrameDecoder;
 import honeygap.net.pg.PgMessages;
@@ -11,6 +12,7 @@
 import honeygap.config.Malformed;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.Locale;
 
@@ -26,6 +28,8 @@
      * further connections under load, so a longer queue is treated as a protocol violation.
      */
     private static final int MAX_QUEUED_MESSAGES = 64;
+    /** RPCs of a connection whose answers may not have been read by the client yet. */
+    private static final int MAX_RECENTLY_ANSWERED = 16;
     private static final String OUT_OF_MEMORY = "too much is held for other requests, trying again is harmless";
 
     private final PgClients clients;
@@ -33,6 +37,7 @@
     private final StartupSequence startup = new StartupSequence();
     private boolean started;
     private Query call;
+    private final ArrayDeque<Query> recentlyAnswered = new ArrayDeque<>();
 
     PgClientConnection(PgClients clients) {
         super(clients.connections);
@@ -102,6 +107,10 @@
             closeCall();
             clients.abandoned(abandoned);
         }
+        for (Query answered : recentlyAnswered) {
+            clients.abandoned(answered);
+        }
+        recentlyAnswered.clear();
     }
 
     @Override
@@ -134,17 +143,24 @@
         switch (startup.next(body)) {
             case ENCRYPTION -> write(PgMessages.encryptionRefused());
             case START -> {
-                started = true;
-                if (clients.connections.rejectsRequest(this)) {
-                    writeAndClose(tooManyConnectionsResponse());
-                } else {
-                    write(PgMessages.startupResponse());
+                if (!awaitPlace()) {
+                    startGranted();
                 }
             }
             case CANCEL -> closeNow();
         }
     }
 
+    @Override
+    protected void startGranted() {
+        started = true;
+        if (clients.connections.rejectsRequest(this)) {
+            writeAndClose(tooManyConnectionsResponse());
+        } else {
+            write(PgMessages.startupResponse());
+        }
+    }
+
     private void handleMessage() throws ProtocolViolation {
         switch (decoder.type()) {
             case 'Q':
@@ -216,6 +232,13 @@
     }
 
     private void finishCall(ByteBuffer... parts) {
+        if (call.method.effect != Method.IDEMPOTENT) {
+            recentlyAnswered.addLast(call);
+        }
+        while (recentlyAnswered.size() > MAX_RECENTLY_ANSWERED || !recentlyAnswered.isEmpty()
+                && clients.loop.now() > recentlyAnswered.peekFirst().deadline) {
+            recentlyAnswered.removeFirst();
+        }
         closeCall();
         write(parts);
     }
--- a/src/main/java/honeygap/net/connections/ClientConnection.java
+++ b/src/main/java/honeygap/net/connections/ClientConnection.java
@@ -45,6 +45,8 @@
         NEW,
         /** The startup of the connection. */
         START,
+        /** A place among the connections, after the startup was received. */
+        PLACE,
         /** The next request. */
         REST,
         /** The rest of a partially received request. */
@@ -64,6 +66,7 @@
     private final List<ByteBuffer> responses = new ArrayList<>();
     private final InputQuota quota = new InputQuota();
     private boolean isProcessing;
+    private boolean isAwaitingPlace;
     private boolean ending;
     private boolean disconnected;
     private Stage stage = Stage.NEW;
@@ -134,7 +137,27 @@
     protected abstract void failRpc();
 
     protected final boolean canRead() {
-        return !hasOpenRpc() && !isWriting() && !ending;
+        return !hasOpenRpc() && !isWriting() && !ending && !isAwaitingPlace;
+    }
+
+    /** Whether the connection has to wait for a place before it is started: {@link #placeGranted} is called then. */
+    protected final boolean awaitPlace() {
+        isAwaitingPlace = connections.awaitsPlace(this);
+        return isAwaitingPlace;
+    }
+
+    /** There is a place for the connection. */
+    final void placeGranted() {
+        if (isAwaitingPlace && !disconnected && !ending) {
+            isAwaitingPlace = false;
+            startGranted();
+            loop.backlog().add(this);
+            updateState();
+        }
+    }
+
+    /** Starts a connection that had to wait for a place. */
+    protected void startGranted() {
     }
 
     /** Whether the next message may be processed now; takes it from the share of this iteration. */
@@ -273,7 +296,8 @@
      * without sending a complete request.
      */
     private void updateStage() {
-        Stage next = disconnected ? Stage.REST : isWriting() || ending ? Stage.UNREAD : !isStarted() ? Stage.START
+        Stage next = disconnected ? Stage.REST : isWriting() || ending ? Stage.UNREAD : isAwaitingPlace ? Stage.PLACE
+                : !isStarted() ? Stage.START
                 : hasOpenRpc() ? Stage.ANSWER : bufferedBytes() > 0 ? Stage.HALF : Stage.REST;
         if (next != stage) {
             stage = next;
--- a/src/main/java/honeygap/net/connections/ClientConnections.java
+++ b/src/main/java/honeygap/net/connections/ClientConnections.java
@@ -22,6 +22,8 @@
 
     /** One connection above the limit is accepted per this many, see {@link #maxAcceptedConnections}. */
     private static final int CONNECTIONS_PER_EXTRA = 16;
+    /** In tenths of a millisecond. */
+    private static final long EVICTION_RETRY_INTERVAL = 10;
 
     final Loop loop;
     private final int maxConnections;
@@ -35,6 +37,8 @@
     private final Set<ClientConnection> awaitingInput = new LinkedHashSet<>();
     /** Connections whose startup, or first request where the protocol has none, is not complete. */
     private final Set<ClientConnection> unstarted = new HashSet<>();
+    /** Connections that have sent their startup when all places were taken; longest waiting first. */
+    private final Set<ClientConnection> awaitingPlace = new LinkedHashSet<>();
     private Loop.Timer idleTimer;
     /** Number of connections, including those that close once their last response is written. */
     private int connected;
@@ -81,21 +85,21 @@
 
     /**
      * While there are too many connections, evicts those whose input is overdue, longest awaited first; then idle ones,
-     * but only for connections that are started: a client that connects and stays silent, or is reset, must not cost
-     * another one its connection. Input that is not overdue is awaited, and this is repeated.
+     * but only for connections that are started or wait for a place: a client that connects and stays silent, or is
+     * reset, must not cost another one its connection. Input that is not overdue is awaited, and this is repeated.
      */
     private void evictAboveLimit() {
+        grantPlaces();
         while (connections.size() > maxConnections) {
             Optional<ClientConnection> overdue = awaitingInput.stream().findFirst().filter(ClientConnection::isOverdue);
             if (overdue.isPresent()) {
                 evictedCount++;
                 remove(overdue.get());
                 overdue.get().terminate(overdue.get().tooManyConnectionsResponse());
-            } else if (startedCount() > maxConnections && !idle.isEmpty()) {
+            } else if (startedCount() + awaitingPlace.size() > maxConnections && evictionCandidate().isPresent()) {
                 evictedCount++;
-                // A new connection is closed last: its first RPC may be a resend after another connection was closed,
-                // and clients don't resend a second time.
-                closeIdle(evictionCandidate().orElse(idle.iterator().next()));
+                closeIdle(evictionCandidate().get());
+                grantPlaces();
             } else {
                 scheduleEviction();
                 return;
@@ -103,10 +107,48 @@
         }
     }
 
+    /**
+     * Whether a connection that has sent its startup has to wait for a place; it is granted one or rejected later. Not
+     * all of those that hold the places can be closed at once: the first RPC of a new connection may be a resend after
+     * another connection was closed, and clients don't resend a second time.
+     */
+    public boolean awaitsPlace(ClientConnection connection) {
+        if (drained || startedCount() < maxConnections) {
+            return false;
+        }
+        awaitingPlace.add(connection);
+        evictAboveLimit();
+        if (!awaitingPlace.contains(connection)) {
+            return false;
+        }
+        loop.schedule(connection.firstRpcDeadline(), () -> rejectIfAwaitingPlace(connection));
+        return true;
+    }
+
+    private void grantPlaces() {
+        while (!awaitingPlace.isEmpty() && startedCount() < maxConnections) {
+            ClientConnection granted = awaitingPlace.iterator().next();
+            awaitingPlace.remove(granted);
+            unstarted.remove(granted);
+            loop.defer(granted::placeGranted);
+        }
+    }
+
+    private void rejectIfAwaitingPlace(ClientConnection connection) {
+        if (awaitingPlace.remove(connection)) {
+            rejectedCount++;
+            remove(connection);
+            connection.terminate(connection.tooManyConnectionsResponse());
+        }
+    }
+
+    /** Tries again when input becomes overdue or an idle connection has had its time; other changes call for it anyway. */
     private void scheduleEviction() {
-        if (overLimitTimer == null && !awaitingInput.isEmpty()) {
-            long overdueAt = Math.max(awaitingInput.iterator().next().overdueAt(), loop.now() + 1);
-            overLimitTimer = loop.schedule(overdueAt, () -> {
+        long overdueAt = awaitingInput.isEmpty() ? Long.MAX_VALUE : awaitingInput.iterator().next().overdueAt();
+        long idleAt = idle.stream().mapToLong(ClientConnection::firstRpcDeadline).min().orElse(Long.MAX_VALUE);
+        long nextAt = Math.min(overdueAt, idleAt);
+        if (overLimitTimer == null && nextAt < Long.MAX_VALUE) {
+            overLimitTimer = loop.schedule(Math.max(nextAt, loop.now() + EVICTION_RETRY_INTERVAL), () -> {
                 overLimitTimer = null;
                 evictAboveLimit();
             });
@@ -153,6 +195,7 @@
         idle.remove(connection);
         awaitingInput.remove(connection);
         unstarted.remove(connection);
+        awaitingPlace.remove(connection);
     }
 
     void updateAwaitingInput(ClientConnection connection, boolean isAwaited) {
--- a/src/main/java/honeygap/rules/routing/AbandonedRpcs.java
+++ b/src/main/java/honeygap/rules/routing/AbandonedRpcs.java
@@ -8,8 +8,7 @@
 import java.util.Map;
 
 /**
- * Remembers RPCs that were abandoned by their clients and may have run, by id. When such an id comes again, the earlier
- * pick counts as one of the new RPC: a non-idempotent RPC is aborted, a tokened one is sent only where and as long as
+ * Remembers RPCs that may have run and whose clients have gone, maybe without reading the answer, by id. When such an id comes again, the earlier pick counts as one of the new RPC: a non-idempotent RPC is aborted, a tokened one is sent only where and as long as
  * duplicates are dropped. An idempotent one may run again, so that it is not remembered.
  */
 public final class AbandonedRpcs {
--- a/src/test/java/honeygap/net/AcceptorTest.java
+++ b/src/test/java/honeygap/net/AcceptorTest.java
@@ -4,11 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.lang.reflect.Method;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.ByteBuffer;
+import java.nio.channels.Channel;
 import java.nio.channels.ServerSocketChannel;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.mina.core.service.IoProcessor;
@@ -88,6 +90,40 @@
         loop.close();
     }
 
+    /** A connection that was closed before the loop opened it is counted, is no internal fault, and keeps no slot. */
+    @Test
+    void connectionIsClosedBeforeItIsOpened() throws Exception {
+        Loop loop = new Loop();
+        long faults = Loop.faultCount();
+        AtomicInteger calls = new AtomicInteger();
+        loop.start();
+        InetSocketAddress address = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 10,
+                (executor, pool) -> new Acceptor(loop, executor, pool, 1) {
+                    @Override
+                    NioSession acceptFromSystem(IoProcessor<NioSession> processor, ServerSocketChannel handle)
+                            throws Exception {
+                        NioSession session = super.acceptFromSystem(processor, handle);
+                        if (calls.getAndIncrement() == 0) {
+                            channel(session).close();
+                        }
+                        return session;
+                    }
+                }, Greeter::new);
+        assertEquals(-1, readByte(address));
+        assertEquals('x', readByte(address));
+        assertEquals(1, loop.closedBeforeOpened());
+        assertEquals(0, loop.acceptedNotOpened());
+        assertEquals(faults, Loop.faultCount());
+        loop.close();
+    }
+
+    /** MINA does not expose the channel. */
+    private static Channel channel(NioSession session) throws ReflectiveOperationException {
+        Method getter = NioSession.class.getDeclaredMethod("getChannel");
+        getter.setAccessible(true);
+        return (Channel) getter.invoke(session);
+    }
+
     private static int readByte(InetSocketAddress address) throws IOException {
         try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
             socket.setSoTimeout(20_000);
--- a/src/test/java/honeygap/net/DepartedClientTest.java
+++ b/src/test/java/honeygap/net/DepartedClientTest.java
@@ -33,6 +33,25 @@
         assertEquals("ok:v1", next.withId("other").call("assign", 900));
     }
 
+    /** The same for an answer that the client did not wait for, be it a row or an error. */
+    @ParameterizedTest
+    @CsvSource({"ok, assign, 58000, 1", "error, assign, 58000, 1", "full, assign, ok:v1, 3", "ok, book, ok:v1, 2",
+        "ok, read, ok:v1, 2"})
+    void idComesAgainAfterItsAnswerWasNotRead(String script, String method, String answer, int statements) throws Exception {
+        FakeAppliance appliance = new FakeAppliance(script + (script.equals("full") ? " full ok" : " ok"));
+        start(appliance);
+        TestClient leaving = new TestClient().handshake();
+        leaving.out.write(query(statement("again", method, 2500)));
+        awaitReceived(appliance, script.equals("full") ? 2 : 1);
+        awaitNoOpenRpc();
+        leaving.close();
+        while (counter("clients", "here") > 0) {
+            Thread.onSpinWait();
+        }
+        assertEquals(answer, new TestClient().withId("again").handshake().call(method, 900));
+        assertEquals(statements, appliance.received.size());
+    }
+
     /** A tokened id that comes again goes only to the zone of its first pick, where duplicates are dropped. */
     @Test
     void tokenedIdStaysInItsZone() throws Exception {
--- a/src/test/java/honeygap/net/InputShareTest.java
+++ b/src/test/java/honeygap/net/InputShareTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import honeygap.config.FlagSettings;
-import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -16,7 +15,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import org.apache.mina.core.session.IoSession;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -248,51 +246,4 @@
             Thread.currentThread().interrupt();
         }
     }
-
-    /** A connection that its dialler gave up before the loop opened it is counted, and is no internal fault. */
-    @Test
-    void connectionClosedBeforeItIsOpenedIsNoFault() throws Exception {
-        start(new FakeAppliance("ok"));
-        long faults = Loop.faultCount();
-        FakeServer server = new FakeServer("silent");
-        LoopPause pause = new LoopPause(() -> { });
-        var future = loop.connect(new InetSocketAddress("127.0.0.1", server.server.getLocalPort()), new IgnoringHandler());
-        while (server.connections.get() == 0) {
-            Thread.onSpinWait();
-        }
-        Thread.sleep(50);
-        future.cancel();
-        server.received.poll(1, TimeUnit.SECONDS);
-        pause.close();
-        awaitCounter("agent", "closed before opened", 1);
-        assertEquals(faults, Loop.faultCount());
-    }
-
-    private static final class IgnoringHandler implements ConnectionHandler {
-
-        @Override
-        public void opened(IoSession session) {
-            session.closeNow();
-        }
-
-        @Override
-        public void unreachable() {
-            // Expected.
-        }
-
-        @Override
-        public void received(ByteBuffer bytes) {
-            // Nothing is sent.
-        }
-
-        @Override
-        public void written() {
-            // Nothing is written.
-        }
-
-        @Override
-        public void closed() {
-            // Expected.
-        }
-    }
 }
