Reset connections are dropped in the accept queue; keys and heads take bounded memory; closed connections hold nothing

Each reset connection took one of two free slots and the loop's time, and usual clients waited up to 2 s behind thousands of them. The listener now reads what has come with a connection, and drops what has closed; it takes no more than the loop asks for.

An endless loop: a connection that closes while the budget is over its limit was given up again and again (found as a hang of MemoryLimitTest with a reserve larger than its heap). A closed connection now holds nothing.

--- a/src/main/java/honeygap/fleet/Build.java
+++ b/src/main/java/honeygap/fleet/Build.java
@@ -1,8 +1,6 @@
 package honeygap.fleet;
 
 import java.util.ArrayDeque;
-import java.util.HashSet;
-import java.util.Set;
 
 /** A build of the appliances' software and what this agent has observed of it. */
 public final class Build {
@@ -30,7 +28,7 @@
     /** Number of these picks, by counting group. */
     public final int[] exposedCounts;
     /** Routing keys whose RPCs this agent has sent to this build. */
-    public final Set<String> routedKeys = new HashSet<>();
+    public final RoutedKeys routedKeys = new RoutedKeys();
 
     /** Picks in flight, by method: all, or only those at appliances no longer cold. */
     public int[] inFlightPicks(boolean warmOnly) {
--- a/src/main/java/honeygap/fleet/Fleet.java
+++ b/src/main/java/honeygap/fleet/Fleet.java
@@ -182,13 +182,15 @@
 
     /**
      * The build that RPCs with this key stay with, or go to a later one: the latest that one was sent to, of the newest
-     * build, while it is active, and the unannounced ones, which count as on trial. Null if there is none.
+     * build, while it is active, and the unannounced ones, which count as on trial. A released build whose keys are too
+     * many to remember keeps all. Null if there is none.
      */
     public Build buildKeeping(String key) {
         for (int i = builds.size() - 1; i >= 0; i--) {
             Build build = builds.get(i);
             boolean keepsKeys = isUnannounced(build) || build == newestBuild && isNewestActive();
-            if (keepsKeys && build.routedKeys.contains(key)) {
+            boolean isReleased = build == newestBuild && phase == Build.RELEASED;
+            if (keepsKeys && (build.routedKeys.contains(key) || isReleased && build.routedKeys.isFull())) {
                 return build;
             }
         }
--- a/src/main/java/honeygap/lab/soak/SoakAgent.java
+++ b/src/main/java/honeygap/lab/soak/SoakAgent.java
@@ -1,11 +1,10 @@
 package honeygap.lab.soak;
 
+import honeygap.lab.LoopbackPorts;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -61,9 +60,7 @@
         this.knownList = knownList;
         this.discoveryPort = discoveryPort;
         this.deskPort = deskPort;
-        try (ServerSocket freePort = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            address = (InetSocketAddress) freePort.getLocalSocketAddress();
-        }
+        address = LoopbackPorts.unusedAddress();
     }
 
     /** Starts a process and returns when it is ready. */
--- a/src/main/java/honeygap/net/Acceptor.java
+++ b/src/main/java/honeygap/net/Acceptor.java
@@ -2,8 +2,12 @@
 
 import honeygap.rules.input.AcceptQuota;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.util.Iterator;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
@@ -11,8 +15,10 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.core.service.SimpleIoProcessorPool;
+import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
+import org.apache.mina.transport.socket.nio.SocketSessions;
 import org.tinylog.Logger;
 
 /**
@@ -30,12 +36,18 @@
      */
     private static final long FAILURE_PAUSE_MS = 10;
     private static final long FAILURES_PER_LOG_LINE = 100;
+    private static final int EARLY_INPUT_BYTES = 1024;
 
     private final Loop loop;
     private final Semaphore slots;
     /** Permits for the connections that the loop still takes before it selects again. */
     private final Semaphore turnPermits = new Semaphore(AcceptQuota.CONNECTIONS_PER_TURN);
     private final AtomicLong failures = new AtomicLong();
+    /** Input that was read when a connection was accepted, until the loop opens it. */
+    private final Map<IoSession, ByteBuffer> earlyInputs = new ConcurrentHashMap<>();
+    private final AtomicLong closedBeforeAccepted = new AtomicLong();
+    private final AtomicLong longestTurnWaitMs = new AtomicLong();
+    private final AtomicLong longestSlotWaitMs = new AtomicLong();
     private final SimpleIoProcessorPool<NioSession> pool;
     /** Connections that were accepted and whose handlers the loop has not opened yet. */
     private final AtomicInteger notYetOpened = new AtomicInteger();
@@ -54,10 +66,10 @@
 
     @Override
     protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel handle) throws Exception {
-        if (!turnPermits.tryAcquire(SLOT_WAIT_MS, TimeUnit.MILLISECONDS)) {
+        if (!acquire(turnPermits, longestTurnWaitMs)) {
             return null;
         }
-        boolean hasSlot = slots.tryAcquire(SLOT_WAIT_MS, TimeUnit.MILLISECONDS);
+        boolean hasSlot = acquire(slots, longestSlotWaitMs);
         NioSession session = hasSlot ? acceptWithSlot(processor, handle) : null;
         if (session == null) {
             turnPermits.release();
@@ -65,6 +77,14 @@
         return session;
     }
 
+    private static boolean acquire(Semaphore permits, AtomicLong longestWaitMs) throws InterruptedException {
+        long start = System.nanoTime();
+        boolean isAcquired = permits.tryAcquire(SLOT_WAIT_MS, TimeUnit.MILLISECONDS);
+        long waitedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
+        longestWaitMs.accumulateAndGet(waitedMs, Math::max);
+        return isAcquired;
+    }
+
     /** The loop has begun another iteration; called by its thread alone. */
     void renewTurnPermits() {
         int used = AcceptQuota.CONNECTIONS_PER_TURN - turnPermits.availablePermits();
@@ -153,9 +173,37 @@
         return notYetOpened.get();
     }
 
-    /** The system call; overridden in tests. */
+    /**
+     * The system call; overridden in tests. A connection that its client has closed or reset already is dropped here, so
+     * that it takes neither a slot nor the loop's time from others that wait in the queue.
+     */
     NioSession acceptFromSystem(IoProcessor<NioSession> processor, ServerSocketChannel handle) throws Exception {
-        return super.accept(processor, handle);
+        SocketChannel channel = handle.accept();
+        if (channel == null) {
+            return null;
+        }
+        ByteBuffer input = ByteBuffer.allocate(EARLY_INPUT_BYTES);
+        if (!readEarlyInput(channel, input)) {
+            closedBeforeAccepted.incrementAndGet();
+            channel.close();
+            return null;
+        }
+        NioSession session = SocketSessions.create(this, processor, channel);
+        if (input.flip().hasRemaining()) {
+            earlyInputs.put(session, input);
+        }
+        return session;
+    }
+
+    /** Reads what the client has sent so far; returns false if it has closed or reset the connection. */
+    private static boolean readEarlyInput(SocketChannel channel, ByteBuffer input) {
+        try {
+            channel.configureBlocking(false);
+            return channel.read(input) >= 0;
+        } catch (IOException e) {
+            Logger.debug(e, "connection reset before it was accepted");
+            return false;
+        }
     }
 
     private void handleAcceptFailure(IOException cause) throws InterruptedException {
@@ -169,4 +217,24 @@
     long failures() {
         return failures.get();
     }
+
+    /** Takes the input that was read when the connection was accepted; null if there was none. */
+    ByteBuffer takeEarlyInput(IoSession session) {
+        return earlyInputs.remove(session);
+    }
+
+    /** Connections that their clients had closed before they were accepted. */
+    long closedBeforeAccepted() {
+        return closedBeforeAccepted.get();
+    }
+
+    /** The longest wait for the loop to take more connections, in milliseconds. */
+    long longestTurnWaitMs() {
+        return longestTurnWaitMs.get();
+    }
+
+    /** The longest wait for another connection to close, in milliseconds; at most a second at a time. */
+    long longestSlotWaitMs() {
+        return longestSlotWaitMs.get();
+    }
 }
--- a/src/main/java/honeygap/net/Agent.java
+++ b/src/main/java/honeygap/net/Agent.java
@@ -147,6 +147,9 @@
             group.count("accept failures", loop.acceptFailures());
             group.count("own dial failures", loop.localConnectFailures());
             group.count("closed before opened", loop.closedBeforeOpened());
+            group.count("closed before accepted", loop.closedBeforeAccepted());
+            group.count("longest wait to accept ms", loop.longestAcceptWaitMs());
+            group.count("longest wait for a slot ms", loop.longestSlotWaitMs());
             group.count("first RPC ms", loop.firstRpcMs());
         });
         counters.group("loop", loop.turnStatistics::report);
--- a/src/main/java/honeygap/net/IoEventDispatcher.java
+++ b/src/main/java/honeygap/net/IoEventDispatcher.java
@@ -1,6 +1,7 @@
 package honeygap.net;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.function.Supplier;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.service.IoHandlerAdapter;
@@ -51,16 +52,24 @@
         runGuarded(session, () -> handler(session).opened(session));
         if (session.getService() instanceof Acceptor acceptor) {
             acceptor.onSessionOpened();
+            ByteBuffer earlyInput = acceptor.takeEarlyInput(session);
+            if (earlyInput != null) {
+                received(session, earlyInput);
+            }
         }
     }
 
     @Override
     public void messageReceived(IoSession session, Object message) {
+        received(session, ((IoBuffer) message).buf());
+    }
+
+    private void received(IoSession session, ByteBuffer input) {
         loop.turnStatistics.add(TurnStatistics.Activity.READ);
         if (loop.trafficListener != null) {
-            loop.trafficListener.received(connectionNumber(session), ((IoBuffer) message).buf());
+            loop.trafficListener.received(connectionNumber(session), input);
         }
-        runGuarded(session, () -> handler(session).received(((IoBuffer) message).buf()));
+        runGuarded(session, () -> handler(session).received(input));
     }
 
     @Override
--- a/src/main/java/honeygap/net/Loop.java
+++ b/src/main/java/honeygap/net/Loop.java
@@ -238,8 +238,8 @@
         return backlog;
     }
 
-    /** The system has been asked again which connections are readable. */
-    void onSelected() {
+    /** New connections have been opened, and the system is about to be asked which connections are readable. */
+    void beforeSelection() {
         selections++;
         for (Acceptor acceptor : acceptors) {
             acceptor.renewTurnPermits();
@@ -256,6 +256,7 @@
         closedBeforeOpened++;
         if (session.getService() instanceof Acceptor acceptor) {
             acceptor.onSessionOpened();
+            acceptor.takeEarlyInput(session);
         }
         session.getCloseFuture().setClosed();
     }
@@ -391,6 +392,21 @@
         return localConnectFailures.get();
     }
 
+    /** Connections that their clients had closed before they were accepted. */
+    long closedBeforeAccepted() {
+        return acceptors.stream().mapToLong(Acceptor::closedBeforeAccepted).sum();
+    }
+
+    /** The longest wait of a listener for the loop to take more connections, in milliseconds. */
+    long longestAcceptWaitMs() {
+        return acceptors.stream().mapToLong(Acceptor::longestTurnWaitMs).max().orElse(0);
+    }
+
+    /** The longest wait of a listener for another connection to close, in milliseconds. */
+    long longestSlotWaitMs() {
+        return acceptors.stream().mapToLong(Acceptor::longestSlotWaitMs).max().orElse(0);
+    }
+
     /** Accept calls that failed and were retried. */
     long acceptFailures() {
         return acceptors.stream().mapToLong(Acceptor::failures).sum();
--- a/src/main/java/honeygap/net/LoopProcessor.java
+++ b/src/main/java/honeygap/net/LoopProcessor.java
@@ -3,12 +3,12 @@
 import java.io.IOException;
 import java.nio.channels.ClosedChannelException;
 import java.nio.channels.GatheringByteChannel;
-import java.nio.channels.SelectionKey;
 import java.util.concurrent.Executor;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.transport.socket.nio.NioProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
+import org.apache.mina.transport.socket.nio.SocketSessions;
 
 /** The I/O processor of all sessions. It runs an iteration of the loop before each wait for I/O. */
 public final class LoopProcessor extends NioProcessor {
@@ -41,9 +41,9 @@
                 loop.turnStatistics.startTurn();
                 return 0;
             }
+            loop.beforeSelection();
             int ready = wakeupCalled.get() || wait <= 0 ? selector.selectNow() : selector.select(wait);
             loop.turnStatistics.startTurn();
-            loop.onSelected();
             if (ready > 0 || wakeupCalled.get()) {
                 return ready;
             }
@@ -72,12 +72,8 @@
             loop.onClosedBeforeOpened(session);
             throw e;
         }
-        // MINA does not expose the channel, which gathering writes need.
-        for (SelectionKey key : selector.keys()) {
-            if (key.attachment() == session) {
-                session.setAttribute(CHANNEL, key.channel());
-            }
-        }
+        // Gathering writes need the channel, which MINA does not expose.
+        session.setAttribute(CHANNEL, SocketSessions.channel(session));
     }
 
     @Override
--- a/src/main/java/honeygap/net/admin/AdminConnection.java
+++ b/src/main/java/honeygap/net/admin/AdminConnection.java
@@ -146,6 +146,7 @@
 
     private void sendResponse(int status, byte[] body, boolean keepAlive) {
         write(response(status, body, keepAlive));
+        requests.releaseFields();
         if (!keepAlive) {
             close();
         }
--- a/src/main/java/honeygap/net/connections/ClientConnection.java
+++ b/src/main/java/honeygap/net/connections/ClientConnection.java
@@ -337,6 +337,11 @@
     }
 
     private void updateMemory() {
+        if (disconnected) {
+            // Nothing can be given up any more: the budget would ask for it again and again.
+            memory.clear();
+            return;
+        }
         MemoryBudget.Use use = unreadBytes > 0 ? MemoryBudget.Use.UNREAD_RESPONSE
                 : !hasOpenRpc() ? MemoryBudget.Use.PARTIAL_REQUEST
                 : bufferedBytes() > 0 ? MemoryBudget.Use.QUEUED_INPUT : MemoryBudget.Use.OPEN_REQUEST;
--- a/src/main/java/honeygap/net/connections/ClientConnections.java
+++ b/src/main/java/honeygap/net/connections/ClientConnections.java
@@ -370,5 +370,7 @@
         counters.count("ended for memory", evictedForMemoryCount);
         counters.count("rejected for memory", rejectedForMemoryCount);
         counters.count("queue too long", queueTooLongCount);
+        counters.count("awaiting place", awaitingPlace.size());
+        counters.count("unstarted", unstarted.size());
     }
 }
--- a/src/main/java/honeygap/net/flagclients/FlagClientConnection.java
+++ b/src/main/java/honeygap/net/flagclients/FlagClientConnection.java
@@ -266,6 +266,7 @@
     private void writeResponse(boolean isKeepAlive, int status, byte[] body, String fields) {
         boolean keepsOpen = isKeepAlive && !clients.connections.isClosing();
         write(createResponse(status, body, fields, keepsOpen));
+        parser.releaseFields();
         if (!keepsOpen) {
             close();
         }
--- a/src/main/java/honeygap/net/http/RequestParser.java
+++ b/src/main/java/honeygap/net/http/RequestParser.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.regex.Pattern;
 
 /**
@@ -20,11 +21,15 @@
     private static final int MAX_HEAD_LENGTH = 16384;
     private static final int MAX_FIELDS = 64;
     private static final int MAX_CHUNK_LINE_LENGTH = 256;
-    private static final int MAX_CHUNK_SIZE_DIGITS = 7;
+    private static final int HEX_RADIX = 16;
     private static final Pattern CONTENT_LENGTH = Pattern.compile("[0-9]{1,18}");
-    private static final Pattern HEX_DIGITS = Pattern.compile("[0-9a-fA-F]+");
     private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
 
+    /** The fields that requests are asked for; what else a client sends takes no memory. */
+    private static final Set<String> KEPT_FIELDS = Set.of("authorization", "connection", "content-encoding",
+            "content-length", "content-type", "expect", "host", "idempotency-key", "if-none-match", "transfer-encoding",
+            "x-api-key", "x-deadline-ms");
+
     private static final int INITIAL_BUFFER_LENGTH = 1024;
     private static final byte[] NO_BODY = {};
 
@@ -41,6 +46,7 @@
     private String target;
     private boolean isHttp10;
     private final Map<String, String> fields = new HashMap<>();
+    private int fieldBytes;
     private byte[] body = NO_BODY;
     private int bodyLength;
     private int remaining;
@@ -75,7 +81,7 @@
     /** How many bytes of memory the input takes, from the first byte of a request until its body is released. */
     public int heldBytes() {
         int unread = state == HEAD && readPosition == writePosition ? 0 : buffer.length;
-        return unread + body.length;
+        return unread + body.length + fieldBytes;
     }
 
     /** Lets go of the body of the last request. */
@@ -83,9 +89,16 @@
         body = NO_BODY;
     }
 
+    /** Lets go of the fields of the last request. */
+    public void releaseFields() {
+        fields.clear();
+        fieldBytes = 0;
+    }
+
     /** Drops all input. */
     public void clear() {
         releaseBody();
+        releaseFields();
         readPosition = writePosition = scanPosition = 0;
         state = HEAD;
         buffer = new byte[INITIAL_BUFFER_LENGTH];
@@ -166,7 +179,7 @@
     }
 
     private void parseHead(int start, int end) throws Refusal {
-        fields.clear();
+        releaseFields();
         int lineStart = start;
         int lineNumber = 0;
         while (lineStart < end) {
@@ -215,7 +228,11 @@
             throw malformed("no name of a field", at);
         }
         String name = line.substring(0, colon).toLowerCase(Locale.ROOT);
+        if (!KEPT_FIELDS.contains(name)) {
+            return;
+        }
         String value = line.substring(colon + 1).strip();
+        fieldBytes += value.length();
         if (fields.put(name, value) != null && (name.equals("content-length") || name.equals("host")
                 || name.equals("transfer-encoding") || name.equals("idempotency-key")
                 || name.equals("authorization"))) {
@@ -224,8 +241,13 @@
     }
 
     private static boolean isToken(String text) {
-        return !text.isEmpty() && text.chars().allMatch(c -> c < 128 && (Character.isLetterOrDigit(c)
-                || TOKEN_PUNCTUATION.indexOf(c) >= 0));
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (c >= 128 || !Character.isLetterOrDigit(c) && TOKEN_PUNCTUATION.indexOf(c) < 0) {
+                return false;
+            }
+        }
+        return !text.isEmpty();
     }
 
     private void parseFraming() throws Refusal {
@@ -313,15 +335,25 @@
 
     private void parseChunkSize(String line) throws Refusal {
         int semicolon = line.indexOf(';');
-        String digits = semicolon < 0 ? line : line.substring(0, semicolon);
-        if (!HEX_DIGITS.matcher(digits).matches()) {
+        int end = semicolon < 0 ? line.length() : semicolon;
+        if (end == 0) {
             throw new Refusal(400, "no length", "a chunk's size is not a number");
         }
-        digits = digits.replaceFirst("^0+(?=.)", "");
-        if (digits.length() > MAX_CHUNK_SIZE_DIGITS || bodyLength + Integer.parseInt(digits, 16) > maxBodyLength) {
+        int size = 0;
+        boolean isTooLong = false;
+        for (int i = 0; i < end; i++) {
+            int digit = line.charAt(i) < 128 ? Character.digit(line.charAt(i), HEX_RADIX) : -1;
+            if (digit < 0) {
+                throw new Refusal(400, "no length", "a chunk's size is not a number");
+            }
+            size = HEX_RADIX * size + digit;
+            // Checked with each digit, so that the size does not overflow.
+            isTooLong |= size > maxBodyLength - bodyLength;
+            size = isTooLong ? 0 : size;
+        }
+        if (isTooLong) {
             throw bodyTooLong();
         }
-        int size = Integer.parseInt(digits, 16);
         if (size == 0) {
             state = TRAILER;
             remaining = 0;
--- a/src/main/java/honeygap/rules/exposure/ExposureLimit.java
+++ b/src/main/java/honeygap/rules/exposure/ExposureLimit.java
@@ -57,6 +57,15 @@
         return build.exposedCounts[group] + 1 <= exposure.freeAllowance() + cap * received.size();
     }
 
+    /**
+     * Whether the key of the RPC can be kept with the build. Where no further key can, a build that is not released gets
+     * no new ones.
+     */
+    public boolean canKeepKey(Build build, Rpc rpc) {
+        boolean isKept = exposure.stickyKeys() && rpc.key != null && fleet.isOnTrial(build);
+        return !isKept || !build.routedKeys.isFull() || build.routedKeys.contains(rpc.key);
+    }
+
     /**
      * A key that was sent to a build on trial or released is not sent to an earlier one until that build is rolled back.
      * A build that the list has and the desk has not reported yet is on trial. Null: the RPC may go to all builds.
--- a/src/main/java/honeygap/rules/routing/ApplianceSelector.java
+++ b/src/main/java/honeygap/rules/routing/ApplianceSelector.java
@@ -34,7 +34,7 @@
                 && (fleet.now >= zone.limitedUntil || zone.inFlight < zone.maxInFlight)
                 && (earliestBuild == null || build.number >= earliestBuild.number)
                 && retryPolicy.dropsDuplicate(rpc, mayHaveRun, appliance) && concurrencyLimits.hasCapacity(build, rpc)
-                && exposureLimit.allows(build, rpc.method) && coldStartLimit.allows(appliance, rpc);
+                && exposureLimit.allows(build, rpc.method) && exposureLimit.canKeepKey(build, rpc) && coldStartLimit.allows(appliance, rpc);
     }
 
     public Appliance select(Rpc rpc, Pick mayHaveRun) {
--- a/src/test/java/honeygap/cli/AgentProcess.java
+++ b/src/test/java/honeygap/cli/AgentProcess.java
@@ -1,11 +1,11 @@
 package honeygap.cli;
 
+import honeygap.lab.LoopbackPorts;
 import java.io.BufferedReader;
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.OutputStream;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -81,9 +81,7 @@
 
     /** A port that is free at the moment. */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
+        return LoopbackPorts.unusedAddress().getPort();
     }
 
     /** Settings with one appliance and one method; discovery and desk share an address. */
--- a/src/test/java/honeygap/net/AcceptorTest.java
+++ b/src/test/java/honeygap/net/AcceptorTest.java
@@ -4,18 +4,18 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.lang.reflect.Method;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.ByteBuffer;
-import java.nio.channels.Channel;
 import java.nio.channels.ServerSocketChannel;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioSession;
+import org.apache.mina.transport.socket.nio.SocketSessions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -104,7 +104,7 @@
                             throws Exception {
                         NioSession session = super.acceptFromSystem(processor, handle);
                         if (calls.getAndIncrement() == 0) {
-                            channel(session).close();
+                            SocketSessions.channel(session).close();
                         }
                         return session;
                     }
@@ -117,11 +117,30 @@
         loop.close();
     }
 
-    /** MINA does not expose the channel. */
-    private static Channel channel(NioSession session) throws ReflectiveOperationException {
-        Method getter = NioSession.class.getDeclaredMethod("getChannel");
-        getter.setAccessible(true);
-        return (Channel) getter.invoke(session);
+    /** Connections that were reset while they waited in the accept queue take no slot from those behind them. */
+    @Test
+    void resetConnectionsTakeNoSlot() throws Exception {
+        Loop loop = new Loop();
+        loop.start();
+        CountDownLatch resume = new CountDownLatch(1);
+        InetSocketAddress address = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 100,
+                (executor, pool) -> new Acceptor(loop, executor, pool, 1) {
+                    @Override
+                    NioSession acceptFromSystem(IoProcessor<NioSession> processor, ServerSocketChannel handle)
+                            throws Exception {
+                        resume.await();
+                        return super.acceptFromSystem(processor, handle);
+                    }
+                }, Greeter::new);
+        for (int i = 0; i < 50; i++) {
+            Socket reset = new Socket(address.getAddress(), address.getPort());
+            reset.setSoLinger(true, 0);
+            reset.close();
+        }
+        resume.countDown();
+        assertEquals('x', readByte(address));
+        assertEquals(50, loop.closedBeforeAccepted());
+        loop.close();
     }
 
     private static int readByte(InetSocketAddress address) throws IOException {
--- a/src/test/java/honeygap/net/MemoryLimitTest.java
+++ b/src/test/java/honeygap/net/MemoryLimitTest.java
@@ -42,6 +42,22 @@
         }
     }
 
+    /** With no memory at all, connections come to an end, and so does giving up what they hold. */
+    @Test
+    void connectionsEndWithoutAnyMemory() throws Exception {
+        heapBytes = 0;
+        start(new FakeAppliance("ok"));
+        for (int i = 0; i < 10; i++) {
+            TestClient client = new TestClient();
+            client.out.write(STARTUP);
+            client.close();
+        }
+        while (counter("clients", "here") > 0) {
+            Thread.onSpinWait();
+        }
+        assertEquals(0, counter("agent", "bytes held"));
+    }
+
     /** A request that was taken is kept and answered; another one that finds no room is told to come again. */
     @Test
     void openRequestIsKeptAndAnotherTurnedAway() throws Exception {
