--- a/src/main/java/honeygap/net/clients/PgClientConnection.java
+++ b/src/main/java/honeygap/net/clients/PgClientConnection.java
@@ -107,9 +107,8 @@
             closeCall();
             clients.abandoned(abandoned);
         }
-        for (Query answered : recentlyAnswered) {
-            clients.abandoned(answered);
-        }
+        removeReadAnswers();
+        recentlyAnswered.forEach(clients::abandoned);
         recentlyAnswered.clear();
     }
 
@@ -235,14 +234,19 @@
         if (call.method.effect != Method.IDEMPOTENT) {
             recentlyAnswered.addLast(call);
         }
-        while (recentlyAnswered.size() > MAX_RECENTLY_ANSWERED || !recentlyAnswered.isEmpty()
-                && clients.loop.now() > recentlyAnswered.peekFirst().deadline) {
-            recentlyAnswered.removeFirst();
-        }
+        removeReadAnswers();
         closeCall();
         write(parts);
     }
 
+    /** Forgets answers that the client has read or no longer waits for. */
+    private void removeReadAnswers() {
+        recentlyAnswered.removeIf(answered -> clients.loop.clock() > answered.deadline);
+        while (recentlyAnswered.size() > MAX_RECENTLY_ANSWERED) {
+            recentlyAnswered.removeFirst();
+        }
+    }
+
     /** Detaches the open RPC from this connection after it was answered or its client disconnected. */
     private void closeCall() {
         call.deadlineTimer.cancel();
--- a/src/test/java/honeygap/net/DepartedClientTest.java
+++ b/src/test/java/honeygap/net/DepartedClientTest.java
@@ -52,6 +52,22 @@
         assertEquals(statements, appliance.received.size());
     }
 
+    /** A connection that closes after the deadline of its last answer leaves nothing that counts as given up. */
+    @Test
+    void idIsFreeAfterTheDeadlineOfItsAnswer() throws Exception {
+        FakeAppliance appliance = new FakeAppliance("ok");
+        start(appliance);
+        TestClient first = new TestClient().handshake();
+        assertEquals("ok:v1", first.call("assign", 300));
+        TimeUnit.MILLISECONDS.sleep(400);
+        first.close();
+        while (counter("clients", "here") > 0) {
+            Thread.onSpinWait();
+        }
+        assertEquals(0, counter("core", "abandoned RPCs kept"));
+        assertEquals("ok:v1", new TestClient().handshake().call("assign", 900));
+    }
+
     /** A tokened id that comes again goes only to the zone of its first pick, where duplicates are dropped. */
     @Test
     void tokenedIdStaysInItsZone() throws Exception {
