Connections that an ended iteration left selected are processed

By reading: MINA handles new sessions before selected ones; an error there left the selected keys in the selector's set, and a later select reports only keys whose readiness has changed, so the loop waited with readable connections. The processor now counts what is in the set.

--- a/src/main/java/honeygap/net/LoopProcessor.java
+++ b/src/main/java/honeygap/net/LoopProcessor.java
@@ -42,7 +42,10 @@
                 return 0;
             }
             loop.beforeSelection();
-            int ready = wakeupCalled.get() || wait <= 0 ? selector.selectNow() : selector.select(wait);
+            // Connections that an iteration ended by an error has left selected are not reported once more.
+            boolean mustNotWait = wakeupCalled.get() || wait <= 0 || !selector.selectedKeys().isEmpty();
+            int updated = mustNotWait ? selector.selectNow() : selector.select(wait);
+            int ready = Math.max(updated, selector.selectedKeys().size());
             loop.turnStatistics.startTurn();
             if (ready > 0 || wakeupCalled.get()) {
                 return ready;
